--- /dev/null
+++ b/cmake/BramleyrailPackage.cmake
@@ -0,0 +1,71 @@
+# Declares one package of the workspace.
+#
+# bramleyrail_package(NAME
+#   [DEPENDS package...]   other packages, by name
+#   [LIBRARIES target...]  external libraries
+# )
+# Every *.cc of the folder goes into the static library bramleyrail_NAME,
+# fakes/*.cc into bramleyrail_NAME_fakes (when there are any), and
+# tests/*_test.cc into one CppUTest program NAME_tests that ctest runs.
+find_package(absl REQUIRED)
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+find_package(rapidcheck REQUIRED)
+
+function(bramleyrail_package name)
+  cmake_parse_arguments(PACKAGE "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  set(dependencies ${PACKAGE_LIBRARIES})
+  set(fake_dependencies)
+  foreach(dependency ${PACKAGE_DEPENDS})
+    list(APPEND dependencies bramleyrail_${dependency})
+  endforeach()
+
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  list(FILTER sources EXCLUDE REGEX "_main\\.cc$")
+  set(library bramleyrail_${name})
+  if(sources)
+    add_library(${library} STATIC ${sources})
+    set(scope PUBLIC)
+  else()
+    add_library(${library} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_include_directories(${library} ${scope} ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${library} ${scope} ${dependencies} Threads::Threads)
+
+  file(GLOB fakes CONFIGURE_DEPENDS fakes/*.cc)
+  list(FILTER fakes EXCLUDE REGEX "_main\\.cc$")
+  if(fakes)
+    add_library(${library}_fakes STATIC ${fakes})
+    target_link_libraries(${library}_fakes PUBLIC ${library})
+    set(fake_dependencies ${library}_fakes)
+  endif()
+
+  file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc)
+  if(tests AND BUILD_TESTING)
+    add_executable(${name}_tests ${tests} ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+    target_link_libraries(${name}_tests PRIVATE ${library} ${fake_dependencies}
+      rapidcheck PkgConfig::CPPUTEST)
+    target_compile_definitions(${name}_tests PRIVATE
+      BRAMLEYRAIL_SOURCE_FOLDER="${PROJECT_SOURCE_DIR}")
+    add_test(NAME ${name} COMMAND ${name}_tests)
+    set_tests_properties(${name} PROPERTIES
+      ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600)
+  endif()
+endfunction()
+
+# Declares a program whose entry point is NAME_main.cc in the current folder
+# (or the file given with SOURCE).
+function(bramleyrail_program name)
+  cmake_parse_arguments(PROGRAM "" "SOURCE" "DEPENDS;LIBRARIES" ${ARGN})
+  if(NOT PROGRAM_SOURCE)
+    set(PROGRAM_SOURCE ${name}_main.cc)
+  endif()
+  add_executable(${name} ${PROGRAM_SOURCE})
+  foreach(dependency ${PROGRAM_DEPENDS})
+    target_link_libraries(${name} PRIVATE bramleyrail_${dependency})
+  endforeach()
+  target_link_libraries(${name} PRIVATE ${PROGRAM_LIBRARIES})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/packages/base/base.h
@@ -0,0 +1,16 @@
+#ifndef PACKAGES_BASE_BASE_H_
+#define PACKAGES_BASE_BASE_H_
+
+// Public header of the base package: errors, results, clocks, identifiers, log
+// events, checksums, and read-copy-update pointers.
+
+#include "packages/base/assert.h"
+#include "packages/base/checksum.h"
+#include "packages/base/clock.h"
+#include "packages/base/error.h"
+#include "packages/base/identifier.h"
+#include "packages/base/json.h"
+#include "packages/base/log.h"
+#include "packages/base/rcu_pointer.h"
+
+#endif  // PACKAGES_BASE_BASE_H_
--- /dev/null
+++ b/packages/state/resource.h
@@ -0,0 +1,165 @@
+#ifndef PACKAGES_STATE_RESOURCE_H_
+#define PACKAGES_STATE_RESOURCE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+enum class ResourceKind {
+  kService,
+  kBatchJob,
+  kTeam,
+  kFailureDomain,
+  kRack,
+  kWorker,
+  kTarget,
+};
+
+// Names used in URLs, declarations and logs: "service", "batch_job", "team",
+// "failure_domain", "rack", "worker", "target".
+std::string_view ResourceKindName(ResourceKind kind);
+Result<ResourceKind> ParseResourceKind(std::string_view name);
+
+// Amounts of a worker's resources, declared by tasks or offered by workers.
+struct ResourceAmounts {
+  int64_t processor_millis = 0;  // Thousandths of a processor core.
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+
+  bool operator==(const ResourceAmounts&) const = default;
+  ResourceAmounts& operator+=(const ResourceAmounts& other);
+  ResourceAmounts& operator-=(const ResourceAmounts& other);
+  // True when every amount of this fits into `capacity`.
+  bool FitsInto(const ResourceAmounts& capacity) const;
+};
+
+enum class Priority { kUrgent, kNormal, kLow };
+
+// What a task does when its worker's lease can no longer be renewed.
+enum class PartitionBehaviour { kStop, kRunOn };
+
+// Common to the tasks of services and of batch jobs.
+struct TaskTemplate {
+  std::string team;
+  std::string task_kind;  // Groups tasks that behave alike; default: the name.
+  ResourceAmounts size;   // Declared for one task.
+  std::string payload;    // Opaque to the system; handed to the worker.
+  std::vector<std::string> failure_domains;  // Allowed; empty means all.
+
+  bool operator==(const TaskTemplate&) const = default;
+};
+
+struct ServiceSpec {
+  TaskTemplate task;
+  int64_t replicas = 0;  // Tasks on workers; 0 when targets run elsewhere.
+  PartitionBehaviour when_partitioned = PartitionBehaviour::kRunOn;
+  int64_t concurrent_requests = 1024;            // Limit at one instance.
+  int64_t concurrent_requests_for_caller = 256;  // Limit at one instance.
+  int64_t default_timeout_ms = 10'000;
+
+  bool operator==(const ServiceSpec&) const = default;
+};
+
+struct BatchJobSpec {
+  TaskTemplate task;
+  int64_t tasks = 1;
+  Priority priority = Priority::kNormal;
+  int64_t maximum_attempts = 3;  // Failures charged to one task.
+  bool checkpointable = false;
+  PartitionBehaviour when_partitioned = PartitionBehaviour::kStop;
+  bool cancelled = false;  // Set by the cancel command only.
+
+  bool operator==(const BatchJobSpec&) const = default;
+};
+
+struct TeamSpec {
+  ResourceAmounts quota;
+  int64_t weight = 1;
+
+  bool operator==(const TeamSpec&) const = default;
+};
+
+struct FailureDomainSpec {
+  std::string region;
+  bool drained = false;
+
+  bool operator==(const FailureDomainSpec&) const = default;
+};
+
+struct RackSpec {
+  std::string failure_domain;
+  bool drained = false;
+
+  bool operator==(const RackSpec&) const = default;
+};
+
+struct WorkerSpec {
+  std::string failure_domain;
+  std::string rack;
+  ResourceAmounts capacity;
+  bool drained = false;
+
+  bool operator==(const WorkerSpec&) const = default;
+};
+
+struct TargetSpec {
+  std::string service;
+  std::string failure_domain;
+  bool drained = false;
+
+  bool operator==(const TargetSpec&) const = default;
+};
+
+// The alternatives are in the order of ResourceKind.
+using ResourceSpec = std::variant<ServiceSpec,
+                                  BatchJobSpec,
+                                  TeamSpec,
+                                  FailureDomainSpec,
+                                  RackSpec,
+                                  WorkerSpec,
+                                  TargetSpec>;
+
+struct Resource {
+  std::string name;
+  std::string uid;
+  int64_t generation = 1;  // Grows with each change of the spec.
+  int64_t revision = 0;    // Revision of the log at the last change.
+  ResourceSpec spec;
+
+  ResourceKind Kind() const { return static_cast<ResourceKind>(spec.index()); }
+};
+
+// One resource as an operator declares it.
+struct ResourceDeclaration {
+  std::string name;
+  ResourceSpec spec;
+  std::string expected_uid;                  // Empty: any.
+  std::optional<int64_t> expected_revision;  // 0: must not exist yet.
+
+  ResourceKind Kind() const { return static_cast<ResourceKind>(spec.index()); }
+};
+
+// JSON shape of a declaration:
+//   {"kind": "service", "name": "quotes", "spec": {...},
+//    "expected_uid": "...", "expected_revision": 12}
+// All faults of the declaration are added to `faults` under `path`.
+std::optional<ResourceDeclaration> ReadDeclaration(
+    const Json& json,
+    const std::string& path,
+    std::vector<FieldFault>* faults);
+
+Json SpecToJson(const ResourceSpec& spec);
+// {"kind", "name", "uid", "generation", "revision", "spec"}; the operator edge
+// adds "status".
+Json ResourceToJson(const Resource& resource);
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_STATE_RESOURCE_H_
--- /dev/null
+++ b/packages/state/state.h
@@ -0,0 +1,14 @@
+#ifndef PACKAGES_STATE_STATE_H_
+#define PACKAGES_STATE_STATE_H_
+
+// Public header of the state package: resource types, commands, and the
+// replicated state machine that applies them.
+
+#include "packages/state/claim.h"
+#include "packages/state/cluster_state.h"
+#include "packages/state/command.h"
+#include "packages/state/resource.h"
+#include "packages/state/state_access.h"
+#include "packages/state/task.h"
+
+#endif  // PACKAGES_STATE_STATE_H_
