--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -10,7 +10,9 @@
 #include "packages/base/error.h"
 #include "packages/base/identifier.h"
 #include "packages/base/json.h"
+#include "packages/base/latency_histogram.h"
 #include "packages/base/log.h"
+#include "packages/base/metrics.h"
 #include "packages/base/rcu_pointer.h"
 
 #endif  // PACKAGES_BASE_BASE_H_
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -37,5 +37,25 @@
   STRCMP_EQUAL("spec.colour", faults[2].path.c_str());
 }
 
+// Guards against quantiles that lag one bucket behind or miss the underflow
+// bucket.
+TEST(Base, LatencyHistogramQuantilesBoundTheRecordedValues) {
+  LatencyHistogram histogram;
+  DOUBLES_EQUAL(0, histogram.Quantile(0.5), 0);
+  for (int i = 1; i <= 100; ++i) {
+    histogram.Record(i);
+  }
+  CHECK(histogram.Quantile(0.5) >= 50 && histogram.Quantile(0.5) < 50 * 1.27);
+  CHECK(histogram.Quantile(0.99) >= 99 && histogram.Quantile(0.99) < 99 * 1.27);
+  std::vector<MetricSample> samples;
+  histogram.AppendSamples("latency_ms", &samples);
+  DOUBLES_EQUAL(100, samples.back().value, 0);
+}
+
+TEST(Base, MetricsRenderInThePrometheusFormat) {
+  STRCMP_EQUAL("bramleyrail_up{instance=\"a\"} 1\n",
+               RenderMetrics({{"up", {{"instance", "a"}}, 1}}).c_str());
+}
+
 }  // namespace
 }  // namespace bramleyrail
