Peer: Add messages and calls between instances

Cause: instances have to exchange replication messages, forwarded requests, worker reports and status, and open connections may go silent for good.

Change: PeerNetwork runs one epoll thread. Each instance dials every peer and sends its own messages and calls on that connection; answers return on it. A call fails with kUnavailable only while none of its bytes was written.

Conclusion: other packages can build on the interface.

--- /dev/null
+++ b/packages/peer/peer_loop.cc
@@ -0,0 +1,251 @@
+#include "packages/peer/peer_loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "packages/peer/peer_events.h"
+#include "packages/peer/peer_limits.h"
+#include "packages/peer/socket.h"
+
+namespace bramleyrail {
+
+namespace {
+
+// Wait after the process ran out of descriptors, since the listening socket
+// stays readable and would otherwise keep the thread busy.
+constexpr Milliseconds kAcceptPause{500};
+
+}  // namespace
+
+Result<std::unique_ptr<PeerLoop>> PeerLoop::Create(
+    PeerNetwork::Options options) {
+  TRY(event_loop, EventLoop::Create());
+  TRY(listener, Listen(options.listen_address));
+  TRY(port, BoundPort(listener));
+  return std::unique_ptr<PeerLoop>(new PeerLoop(
+      std::move(options), std::move(event_loop), std::move(listener), port));
+}
+
+PeerLoop::PeerLoop(PeerNetwork::Options options,
+                   std::unique_ptr<EventLoop> event_loop,
+                   FileDescriptor listener,
+                   uint16_t listen_port)
+    : options_(std::move(options)),
+      event_loop_(std::move(event_loop)),
+      listener_(std::move(listener)),
+      listen_port_(listen_port) {
+  for (const PeerAddress& address : options_.peers) {
+    peers_.push_back(std::make_unique<PeerRecord>(address));
+    outgoing_.emplace(address.name, std::make_unique<OutgoingLink>(
+                                        event_loop_.get(), &options_,
+                                        &handlers_, peers_.back().get()));
+  }
+}
+
+PeerLoop::~PeerLoop() {
+  Stop();
+}
+
+Result<void> PeerLoop::Start() {
+  BRAMLEYRAIL_ASSERT(!is_started(), "the peer network was started twice");
+  event_loop_->Watch(listener_.number(), EPOLLIN, &listener_events_);
+  LogEvent(kPeerListening,
+           {{"address", ToString({options_.listen_address.ip, listen_port_})},
+            {"peers", peers_.size()}});
+  thread_ = std::thread([this] { Run(); });
+  return Success();
+}
+
+void PeerLoop::Stop() {
+  BRAMLEYRAIL_ASSERT(thread_.get_id() != std::this_thread::get_id(),
+                     "a handler of the peer network stopped it");
+  stopping_ = true;
+  if (thread_.joinable()) {
+    event_loop_->Wake();
+    thread_.join();
+  }
+  {
+    absl::MutexLock lock(&mutex_);
+    ended_ = true;
+  }
+  RunPosted();
+}
+
+bool PeerLoop::Send(std::string_view peer,
+                    PeerChannel channel,
+                    std::span<const std::byte> payload) {
+  const auto link = outgoing_.find(peer);
+  return link != outgoing_.end() && payload.size() <= kMaximumPayloadBytes &&
+         link->second->Send(channel, payload);
+}
+
+void PeerLoop::Call(std::string_view peer,
+                    PeerChannel channel,
+                    std::span<const std::byte> payload,
+                    Milliseconds timeout,
+                    PeerCallCallback callback) {
+  std::string reason;
+  const auto link = outgoing_.find(peer);
+  if (link == outgoing_.end()) {
+    reason = "is not known";
+  } else if (payload.size() > kMaximumPayloadBytes) {
+    reason = absl::StrCat("was not called: a payload of ", payload.size(),
+                          " bytes exceeds the limit of ", kMaximumPayloadBytes);
+  } else {
+    switch (link->second->Call(channel, payload,
+                               std::chrono::steady_clock::now() + timeout,
+                               &callback)) {
+      case Outbox::PushOutcome::kQueued:
+        return;
+      case Outbox::PushOutcome::kFull:
+        reason = "has a full queue";
+        break;
+      case Outbox::PushOutcome::kClosed:
+        reason = "is not connected";
+        break;
+    }
+  }
+  Error error = MakeError(
+      ErrorKind::kUnavailable,
+      absl::StrCat("the peer '", absl::string_view(peer.data(), peer.size()),
+                   "' ", reason),
+      "try again or use another instance");
+  Post([callback = std::move(callback), error = std::move(error)] {
+    callback(error);
+  });
+}
+
+std::vector<PeerStatus> PeerLoop::Statuses() const {
+  std::vector<PeerStatus> statuses;
+  statuses.reserve(peers_.size());
+  for (const auto& peer : peers_) {
+    statuses.push_back(peer->Status());
+  }
+  return statuses;
+}
+
+void PeerLoop::Run() {
+  while (!stopping_) {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    RunPosted();
+    AcceptConnections(now);
+    AdvanceIncoming(now);
+    for (auto& [name, link] : outgoing_) {
+      link->Advance(now);
+    }
+    event_loop_->Wait(NextDeadline(now));
+  }
+  Shutdown();
+}
+
+void PeerLoop::AcceptConnections(MonotonicTime now) {
+  if (accept_again_.has_value() && now >= *accept_again_) {
+    accept_again_.reset();
+    event_loop_->ChangeEvents(listener_.number(), EPOLLIN);
+  }
+  if (std::exchange(listener_events_, 0) == 0) {
+    return;
+  }
+  while (true) {
+    Result<std::optional<FileDescriptor>> accepted = Accept(listener_);
+    if (accepted.has_error()) {
+      accept_again_ = now + kAcceptPause;
+      event_loop_->ChangeEvents(listener_.number(), 0);
+      LogEvent(kPeerAcceptFailed, {{"error", accepted.error().ToString()}});
+      return;
+    }
+    if (!accepted.value().has_value()) {
+      return;
+    }
+    if (incoming_.size() >= kMaximumAcceptedConnections) {
+      LogEvent(kPeerAcceptFailed,
+               {{"error", std::string_view("too many connections are open")},
+                {"limit", kMaximumAcceptedConnections}});
+      continue;
+    }
+    incoming_.push_back(std::make_unique<IncomingLink>(
+        event_loop_.get(), std::move(*accepted.value()), &options_, &handlers_,
+        [this](std::string_view name) { return FindPeer(name); }, now));
+  }
+}
+
+void PeerLoop::AdvanceIncoming(MonotonicTime now) {
+  for (const auto& link : incoming_) {
+    const PeerRecord* peer_before = link->peer();
+    link->Advance(now);
+    const PeerRecord* peer = link->peer();
+    if (peer == peer_before || link->is_closed()) {
+      continue;
+    }
+    // The peer dials again only after it has given up its last connection.
+    for (const auto& other : incoming_) {
+      if (other != link && !other->is_closed() && other->peer() == peer) {
+        other->Replace();
+      }
+    }
+  }
+  RemoveClosedIncoming();
+}
+
+void PeerLoop::RemoveClosedIncoming() {
+  std::erase_if(incoming_, [](const auto& link) { return link->is_closed(); });
+}
+
+MonotonicTime PeerLoop::NextDeadline(MonotonicTime now) const {
+  MonotonicTime deadline = now + kHeartbeatInterval;
+  for (const auto& link : incoming_) {
+    deadline = std::min(deadline, link->NextDeadline());
+  }
+  for (const auto& [name, link] : outgoing_) {
+    deadline = std::min(deadline, link->NextDeadline());
+  }
+  return deadline;
+}
+
+void PeerLoop::Shutdown() {
+  for (const auto& link : incoming_) {
+    link->Shutdown();
+  }
+  incoming_.clear();
+  for (auto& [name, link] : outgoing_) {
+    link->Shutdown(std::chrono::steady_clock::now());
+  }
+}
+
+PeerRecord* PeerLoop::FindPeer(std::string_view name) {
+  const auto found =
+      std::find_if(peers_.begin(), peers_.end(),
+                   [name](const auto& peer) { return peer->name() == name; });
+  return found == peers_.end() ? nullptr : found->get();
+}
+
+void PeerLoop::Post(std::function<void()> function) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!ended_) {
+      posted_.push_back(std::move(function));
+      function = nullptr;
+    }
+  }
+  if (function) {
+    function();
+    return;
+  }
+  event_loop_->Wake();
+}
+
+void PeerLoop::RunPosted() {
+  std::vector<std::function<void()>> functions;
+  {
+    absl::MutexLock lock(&mutex_);
+    functions.swap(posted_);
+  }
+  for (const std::function<void()>& function : functions) {
+    function();
+  }
+}
+
+}  // namespace bramleyrail
