--- a/packages/state/claim.h
+++ b/packages/state/claim.h
@@ -9,7 +9,7 @@
 
 namespace bramleyrail {
 
-enum class ClaimState {
+enum class ClaimState : uint8_t {
   kRunning,         // Claimed; the outcome is not known yet.
   kCompleted,       // The target answered.
   kNotRun,          // Claimed, then certainly not sent; never run later either.
@@ -32,9 +32,11 @@
   bool answer_kept = false;
   int64_t claimed_unix_ms = 0;
   int64_t resolved_unix_ms = 0;
+
+  bool operator==(const Claim&) const = default;
 };
 
-inline constexpr size_t kMaximumKeptAnswerBytes = 16 * 1024;
+inline constexpr size_t kMaximumKeptAnswerBytes = size_t{16} * 1024;
 
 }  // namespace bramleyrail
 
--- a/packages/state/command.h
+++ b/packages/state/command.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -177,7 +178,8 @@
   CommandBody body;
 };
 
-// CBOR, as stored in the log.
+// CBOR, as stored in the log. The time comes first, then the index of the body
+// in CommandBody and its fields by position; see codec.h.
 std::vector<std::byte> EncodeCommand(const Command& command);
 Result<Command> DecodeCommand(std::span<const std::byte> data);
 
--- a/packages/state/resource.h
+++ b/packages/state/resource.h
@@ -12,7 +12,7 @@
 
 namespace bramleyrail {
 
-enum class ResourceKind {
+enum class ResourceKind : uint8_t {
   kService,
   kBatchJob,
   kTeam,
@@ -27,6 +27,8 @@
 std::string_view ResourceKindName(ResourceKind kind);
 Result<ResourceKind> ParseResourceKind(std::string_view name);
 
+inline constexpr int kResourceKindCount = 7;
+
 // Amounts of a worker's resources, declared by tasks or offered by workers.
 struct ResourceAmounts {
   int64_t processor_millis = 0;  // Thousandths of a processor core.
@@ -40,10 +42,15 @@
   bool FitsInto(const ResourceAmounts& capacity) const;
 };
 
-enum class Priority { kUrgent, kNormal, kLow };
+enum class Priority : uint8_t { kUrgent, kNormal, kLow };
 
 // What a task does when its worker's lease can no longer be renewed.
-enum class PartitionBehaviour { kStop, kRunOn };
+enum class PartitionBehaviour : uint8_t { kStop, kRunOn };
+
+// "urgent", "normal", "low".
+std::string_view PriorityName(Priority priority);
+// "stop", "run_on".
+std::string_view PartitionBehaviourName(PartitionBehaviour behaviour);
 
 // Common to the tasks of services and of batch jobs.
 struct TaskTemplate {
@@ -133,9 +140,14 @@
   int64_t revision = 0;    // Revision of the log at the last change.
   ResourceSpec spec;
 
+  bool operator==(const Resource&) const = default;
+
   ResourceKind Kind() const { return static_cast<ResourceKind>(spec.index()); }
 };
 
+// The task template of a service or batch job, nullptr for other kinds.
+const TaskTemplate* FindTaskTemplate(const ResourceSpec& spec);
+
 // One resource as an operator declares it.
 struct ResourceDeclaration {
   std::string name;
--- a/packages/state/state.h
+++ b/packages/state/state.h
@@ -8,6 +8,7 @@
 #include "packages/state/cluster_state.h"
 #include "packages/state/command.h"
 #include "packages/state/resource.h"
+#include "packages/state/shared_text.h"
 #include "packages/state/state_access.h"
 #include "packages/state/task.h"
 
--- a/packages/state/state_access.h
+++ b/packages/state/state_access.h
@@ -33,7 +33,7 @@
   std::function<int64_t(int64_t after_revision, Milliseconds timeout)>
       wait_for_revision;
 
-  // Proposes and blocks for the outcome.
+  // Proposes and blocks for the outcome; kOutcomeUnknown when the time is up.
   Result<CommandOutcome> ProposeAndWait(Command command,
                                         Milliseconds timeout) const;
   bool IsFresh() const;
