Routing: Add the request path from a caller to a target

Cause: the packages routing, caller and target did not exist, and the assembly of the instance builds on them.

Change: target sessions with leases, capacity accounting, selection, ejection, retry budget, limits, request table and messages (routing); announce, renew, leave and the client for targets (target); the server for callers, the dispatcher with claims and forwarding, and RequestPlane, which owns all parts (caller); the stand-in target. cpp-httplib's connection loop is replaced, because it keeps a pool thread for every idle connection and listens with a backlog of 5.

Missing: watches, request state from claims and peers, drain flags, tests of the servers and of several instances (they need the sources of packages/state).

--- /dev/null
+++ b/packages/routing/owner_record.h
@@ -0,0 +1,74 @@
+#ifndef PACKAGES_ROUTING_OWNER_RECORD_H_
+#define PACKAGES_ROUTING_OWNER_RECORD_H_
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "packages/base/base.h"
+#include "packages/routing/monotonic_nanoseconds.h"
+#include "packages/routing/routing_message.h"
+#include "packages/routing/selection.h"
+
+namespace bramleyrail {
+
+inline constexpr Milliseconds kSummaryLifetime{2'000};
+
+// What another instance last said about its targets of one service.
+class OwnerRecord {
+ public:
+  OwnerRecord(std::string instance, OwnerDistance distance)
+      : instance_(std::move(instance)), distance_(distance) {}
+
+  const std::string& instance() const { return instance_; }
+
+  void Update(const ServiceSummary& summary, MonotonicTime now) {
+    free_slots_.store(summary.free_slots);
+    free_connections_.store(summary.free_connections);
+    targets_.store(summary.targets);
+    latency_ms_.store(summary.latency_ms);
+    assigned_.store(0);
+    received_ns_.store(ToNanoseconds(now));
+  }
+
+  void Expire() { received_ns_.store(0); }
+
+  bool IsCurrent(MonotonicTime now) const {
+    const int64_t received = received_ns_.load();
+    const int64_t age = ToNanoseconds(now) - received;
+    return received != 0 && age < ToNanoseconds(kSummaryLifetime);
+  }
+
+  // Work sent since the last summary counts against the reported capacity.
+  void CountAssigned() { assigned_.fetch_add(1); }
+
+  // The owner refused for lack of capacity: full until the next summary.
+  void MarkFull() {
+    free_slots_.store(0);
+    free_connections_.store(0);
+  }
+
+  OwnerCandidate ToCandidate(WorkKind kind) const {
+    const int64_t free = kind == WorkKind::kRequest ? free_slots_.load()
+                                                    : free_connections_.load();
+    return {instance_, distance_, std::max<int64_t>(0, free - assigned_.load()),
+            std::max(1.0, latency_ms_.load())};
+  }
+
+  int64_t targets() const { return targets_.load(); }
+
+ private:
+  const std::string instance_;
+  const OwnerDistance distance_;
+  std::atomic<int64_t> free_slots_{0};
+  std::atomic<int64_t> free_connections_{0};
+  std::atomic<int64_t> targets_{0};
+  std::atomic<int64_t> assigned_{0};
+  std::atomic<double> latency_ms_{1};
+  std::atomic<int64_t> received_ns_{0};
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_ROUTING_OWNER_RECORD_H_
--- /dev/null
+++ b/packages/routing/request_table.h
@@ -0,0 +1,120 @@
+#ifndef PACKAGES_ROUTING_REQUEST_TABLE_H_
+#define PACKAGES_ROUTING_REQUEST_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+enum class RequestState {
+  kWaiting,         // Accepted; nothing was sent yet.
+  kRunning,         // Sent, or about to be sent, to a target.
+  kCompleted,       // The target answered.
+  kNotRun,          // Certainly not run under this acceptance.
+  kOutcomeUnknown,  // Sent; no complete answer arrived.
+};
+
+std::string_view RequestStateName(RequestState state);
+
+// Whether the instance accepted the request from the caller or ran it on one
+// of its targets for another instance.
+enum class RequestRole { kEntry, kOwner };
+
+std::string_view RequestRoleName(RequestRole role);
+
+struct RequestDecision {
+  int64_t unix_ms = 0;
+  std::string text;
+};
+
+struct RequestRecord {
+  std::string id;
+  std::string service;
+  std::string caller;
+  std::string instance;  // That keeps this record.
+  RequestRole role = RequestRole::kEntry;
+  bool idempotent = false;
+  RequestState state = RequestState::kWaiting;
+  int status = 0;      // HTTP status of the target's answer.
+  std::string target;  // Last one chosen.
+  int64_t accepted_unix_ms = 0;
+  int64_t changed_unix_ms = 0;
+  std::vector<RequestDecision> decisions;  // Oldest first; the newest 32.
+
+  bool IsFinished() const;
+  Json ToJson() const;
+};
+
+// The state of every recent request by id, bounded by count and age. All
+// methods may be called by any thread.
+class RequestTable {
+ public:
+  struct Options {
+    std::string instance;
+    size_t maximum_records = 65'536;
+    Milliseconds maximum_age{600'000};  // Of finished requests.
+    MonotonicClock clock = SystemMonotonicClock();
+  };
+
+  explicit RequestTable(Options options);
+
+  // Starts a record; one of the same id and role is replaced, its decisions
+  // are kept.
+  void Begin(RequestRole role,
+             std::string_view id,
+             std::string_view service,
+             std::string_view caller,
+             bool idempotent);
+  void AddDecision(RequestRole role, std::string_view id, std::string text);
+  void SetState(RequestRole role,
+                std::string_view id,
+                RequestState state,
+                std::string_view target,
+                int status);
+
+  // The entry record if there is one, else the owner record.
+  std::optional<RequestRecord> Find(std::string_view id) const;
+  std::optional<RequestRecord> Find(RequestRole role,
+                                    std::string_view id) const;
+  size_t size() const;
+
+ private:
+  struct Entry {
+    RequestRecord record;
+    uint64_t generation = 0;
+    MonotonicTime started;
+  };
+  struct Position {
+    std::string key;
+    uint64_t generation = 0;
+  };
+  // Requests of different ids rarely share a lock.
+  struct Shard {
+    mutable absl::Mutex mutex;
+    absl::flat_hash_map<std::string, Entry> entries ABSL_GUARDED_BY(mutex);
+    std::deque<Position> by_age ABSL_GUARDED_BY(mutex);
+    uint64_t last_generation ABSL_GUARDED_BY(mutex) = 0;
+  };
+  static constexpr size_t kShards = 16;
+
+  const Shard& ShardOf(std::string_view id) const;
+  Shard& ShardOf(std::string_view id);
+  void Trim(Shard* shard, MonotonicTime now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(shard->mutex);
+
+  const Options options_;
+  std::array<Shard, kShards> shards_;
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_ROUTING_REQUEST_TABLE_H_
--- /dev/null
+++ b/packages/routing/retry_budget.cc
@@ -0,0 +1,52 @@
+#include "packages/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace bramleyrail {
+
+namespace {
+
+constexpr int64_t kRequestsPerRetry = 10;
+constexpr int64_t kMinimumRetries = 3;
+
+int64_t SecondOf(MonotonicTime now) {
+  return std::chrono::floor<std::chrono::seconds>(now.time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+RetryBudget::Second& RetryBudget::Current(Window* window, int64_t number) {
+  Second& second = (*window)[static_cast<size_t>(number % kSeconds)];
+  if (second.number != number) {
+    second = Second{number, 0, 0};
+  }
+  return second;
+}
+
+void RetryBudget::CountRequest(std::string_view service, MonotonicTime now) {
+  absl::MutexLock lock(&mutex_);
+  ++Current(&windows_[std::string(service)], SecondOf(now)).requests;
+}
+
+bool RetryBudget::TryTake(std::string_view service, MonotonicTime now) {
+  const int64_t number = SecondOf(now);
+  absl::MutexLock lock(&mutex_);
+  Window& window = windows_[std::string(service)];
+  Second& current = Current(&window, number);
+  int64_t requests = 0;
+  int64_t retries = 0;
+  for (const Second& second : window) {
+    if (second.number > number - kSeconds) {
+      requests += second.requests;
+      retries += second.retries;
+    }
+  }
+  if (retries >= std::max(kMinimumRetries, requests / kRequestsPerRetry)) {
+    return false;
+  }
+  ++current.retries;
+  return true;
+}
+
+}  // namespace bramleyrail
