--- /dev/null
+++ b/packages/placement/placement_policy.cc
@@ -0,0 +1,59 @@
+#include "packages/placement/placement_policy.h"
+
+#include <algorithm>
+
+namespace bramleyrail {
+
+namespace {
+
+bool IsAllowed(const PlacementRequest& request, const FleetWorker& worker) {
+  const auto& allowed = request.failure_domains;
+  return allowed.empty() || std::find(allowed.begin(), allowed.end(),
+                                      worker.failure_domain) != allowed.end();
+}
+
+}  // namespace
+
+bool Fits(const PlacementRequest& request, const FleetWorker& worker) {
+  if (!worker.usable || !worker.present || !IsAllowed(request, worker)) {
+    return false;
+  }
+  return request.size.FitsInto(worker.FreeFor(request.capacity_class));
+}
+
+EmptyFleetVerdict JudgeEmptyFleet(const PlacementRequest& request,
+                                  const Fleet& fleet) {
+  EmptyFleetVerdict verdict;
+  for (uint32_t index = 0; index < fleet.worker_count(); ++index) {
+    const FleetWorker& worker = fleet.worker(index);
+    if (!worker.present || !IsAllowed(request, worker)) {
+      continue;
+    }
+    ResourceAmounts offer = worker.capacity;
+    if (request.capacity_class == CapacityClass::kBatch) {
+      offer -= worker.headroom;
+    }
+    verdict.any_worker = true;
+    verdict.fits = verdict.fits || request.size.FitsInto(offer);
+    verdict.largest = {
+        std::max(verdict.largest.processor_millis, offer.processor_millis),
+        std::max(verdict.largest.memory_mib, offer.memory_mib),
+        std::max(verdict.largest.accelerators, offer.accelerators)};
+  }
+  return verdict;
+}
+
+void ForEachDomain(const PlacementRequest& request,
+                   const Fleet& fleet,
+                   const std::function<void(int32_t)>& function) {
+  if (!request.failure_domains.empty()) {
+    std::for_each(request.failure_domains.begin(),
+                  request.failure_domains.end(), function);
+    return;
+  }
+  for (size_t domain = 0; domain < fleet.failure_domain_count(); ++domain) {
+    function(static_cast<int32_t>(domain));
+  }
+}
+
+}  // namespace bramleyrail
