--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -8,6 +8,7 @@
 #include "packages/base/checksum.h"
 #include "packages/base/clock.h"
 #include "packages/base/error.h"
+#include "packages/base/file_descriptor.h"
 #include "packages/base/identifier.h"
 #include "packages/base/json.h"
 #include "packages/base/latency_histogram.h"
--- a/packages/peer/file_descriptor.h
+++ b/packages/base/file_descriptor.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PEER_FILE_DESCRIPTOR_H_
-#define PACKAGES_PEER_FILE_DESCRIPTOR_H_
+#ifndef PACKAGES_BASE_FILE_DESCRIPTOR_H_
+#define PACKAGES_BASE_FILE_DESCRIPTOR_H_
 
 #include <unistd.h>
 
@@ -41,4 +41,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PEER_FILE_DESCRIPTOR_H_
+#endif  // PACKAGES_BASE_FILE_DESCRIPTOR_H_
--- /dev/null
+++ b/packages/bramleyraild/bramleyraild_main.cc
@@ -0,0 +1,83 @@
+#include <gflags/gflags.h>
+#include <pthread.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <utility>
+
+#include "packages/base/base.h"
+#include "packages/bramleyraild/instance.h"
+
+DEFINE_string(settings, "", "settings file in JSON with comments");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+
+namespace bramleyrail {
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+int Report(const Error& error, int exit_code) {
+  std::fprintf(stderr, "bramleyraild: %s\n", error.ToString().c_str());
+  return exit_code;
+}
+
+// Blocks the stop signals in every thread started later, so that only
+// WaitForStopSignal receives them.
+sigset_t BlockStopSignals() {
+  signal(SIGPIPE, SIG_IGN);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void WaitForStopSignal(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+int Run() {
+  auto settings = LoadSettings(FLAGS_settings);
+  if (!settings) {
+    return Report(settings.error(), kExitUsage);
+  }
+  if (FLAGS_check_settings) {
+    std::printf("%s: valid\n", FLAGS_settings.c_str());
+    return 0;
+  }
+  const sigset_t signals = BlockStopSignals();
+  if (auto logging = StartLogging(settings.value().log); !logging) {
+    return Report(logging.error(), kExitFailure);
+  }
+  auto instance = Instance::Create(std::move(settings).value());
+  if (!instance) {
+    return Report(instance.error(), kExitFailure);
+  }
+  if (auto started = instance.value()->Start(); !started) {
+    return Report(started.error(), kExitFailure);
+  }
+  WaitForStopSignal(signals);
+  const bool clean = instance.value()->Stop();
+  StopLogging();
+  return clean ? 0 : kExitFailure;
+}
+
+}  // namespace
+}  // namespace bramleyrail
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "entry instance of bramleyrail\n"
+      "  bramleyraild --settings=FILE [--check_settings]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_settings.empty()) {
+    std::fprintf(stderr,
+                 "bramleyraild: --settings=FILE is required; "
+                 "docs/settings.md describes the file\n");
+    return bramleyrail::kExitUsage;
+  }
+  return bramleyrail::Run();
+}
--- /dev/null
+++ b/packages/bramleyraild/leader_loop.cc
@@ -0,0 +1,112 @@
+#include "packages/bramleyraild/leader_loop.h"
+
+#include <utility>
+
+#include "absl/time/time.h"
+#include "packages/bramleyraild/bramleyraild_events.h"
+
+namespace bramleyrail {
+
+namespace {
+
+// Urgent work must start within 4.3 s; a step every 50 ms takes a small part
+// of it and leaves time to gather commands into one batch.
+constexpr absl::Duration kStepInterval = absl::Milliseconds(50);
+
+void LogRefusal(size_t command, const Result<CommandOutcome>& outcome) {
+  const auto index = static_cast<int64_t>(command);
+  if (!outcome) {
+    LogEvent(kControllerCommandRefused,
+             {{"command", index}, {"error", outcome.error().ToString()}});
+    return;
+  }
+  if (outcome.value().refusal) {
+    LogEvent(
+        kControllerCommandRefused,
+        {{"command", index}, {"error", outcome.value().refusal->ToString()}});
+  }
+}
+
+}  // namespace
+
+LeaderLoop::LeaderLoop(Options options) : options_(std::move(options)) {}
+
+LeaderLoop::~LeaderLoop() {
+  Stop();
+}
+
+std::unique_ptr<LeaderLoop> LeaderLoop::Create(Options options) {
+  return std::unique_ptr<LeaderLoop>(new LeaderLoop(std::move(options)));
+}
+
+void LeaderLoop::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void LeaderLoop::Stop() {
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool LeaderLoop::DeliverReports(std::vector<WorkerReport> reports) {
+  std::shared_ptr<Controller> controller;
+  {
+    absl::MutexLock lock(&mutex_);
+    controller = controller_;
+  }
+  if (controller == nullptr) {
+    return false;
+  }
+  for (WorkerReport& report : reports) {
+    controller->Observe(std::move(report));
+  }
+  return true;
+}
+
+void LeaderLoop::Run() {
+  while (true) {
+    {
+      absl::MutexLock lock(&mutex_);
+      if (mutex_.AwaitWithTimeout(absl::Condition(&stopping_), kStepInterval)) {
+        return;
+      }
+    }
+    StepOnce();
+  }
+}
+
+std::shared_ptr<Controller> LeaderLoop::CurrentController() {
+  const bool leads = options_.is_leader();
+  absl::MutexLock lock(&mutex_);
+  if (!leads) {
+    controller_ = nullptr;
+  } else if (controller_ == nullptr) {
+    controller_ = Controller::Create(options_.controller);
+  }
+  return controller_;
+}
+
+void LeaderLoop::StepOnce() {
+  const std::shared_ptr<Controller> controller = CurrentController();
+  if (controller == nullptr) {
+    return;
+  }
+  std::vector<Command> commands;
+  options_.state.read([&](const ClusterState& state) {
+    commands = controller->Step(state, options_.clock());
+  });
+  for (Command& command : commands) {
+    const size_t kind = command.body.index();
+    options_.state.propose(std::move(command),
+                           [kind](const Result<CommandOutcome>& outcome) {
+                             LogRefusal(kind, outcome);
+                           });
+  }
+}
+
+}  // namespace bramleyrail
--- a/packages/peer/connection.cc
+++ b/packages/peer/connection.cc
@@ -39,7 +39,7 @@
       outbox_(std::move(outbox)),
       reader_(kMaximumHelloBytes),
       last_received_(now),
-      next_heartbeat_(now + kHeartbeatInterval) {
+      next_heartbeat_(now + kPeerHeartbeatInterval) {
   event_loop_->Watch(socket_.number(), EPOLLIN | EPOLLOUT, &ready_events_);
 }
 
@@ -72,7 +72,7 @@
                      "check whether the peer reads too slowly");
   }
   if (now >= next_heartbeat_) {
-    next_heartbeat_ = now + kHeartbeatInterval;
+    next_heartbeat_ = now + kPeerHeartbeatInterval;
     // Queued frames keep the connection alive by themselves.
     if (outbox_->empty()) {
       outbox_->PushControl(EncodeHeartbeat());
--- a/packages/peer/connection.h
+++ b/packages/peer/connection.h
@@ -8,7 +8,6 @@
 #include "packages/base/base.h"
 #include "packages/peer/envelope.h"
 #include "packages/peer/event_loop.h"
-#include "packages/peer/file_descriptor.h"
 #include "packages/peer/frame_reader.h"
 #include "packages/peer/outbox.h"
 #include "packages/peer/peer_record.h"
--- a/packages/peer/event_loop.h
+++ b/packages/peer/event_loop.h
@@ -8,7 +8,6 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "packages/base/base.h"
-#include "packages/peer/file_descriptor.h"
 
 namespace bramleyrail {
 
--- a/packages/peer/fakes/tcp_relay.h
+++ b/packages/peer/fakes/tcp_relay.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "packages/base/base.h"
-#include "packages/peer/file_descriptor.h"
 
 namespace bramleyrail {
 
--- a/packages/peer/incoming_link.h
+++ b/packages/peer/incoming_link.h
@@ -9,7 +9,6 @@
 #include "packages/base/base.h"
 #include "packages/peer/connection.h"
 #include "packages/peer/event_loop.h"
-#include "packages/peer/file_descriptor.h"
 #include "packages/peer/outbox.h"
 #include "packages/peer/peer_handlers.h"
 #include "packages/peer/peer_network.h"
--- a/packages/peer/peer_limits.h
+++ b/packages/peer/peer_limits.h
@@ -25,7 +25,7 @@
 // Accepted connections, including those that have not sent a hello yet.
 inline constexpr size_t kMaximumAcceptedConnections = 256;
 
-inline constexpr Milliseconds kHeartbeatInterval{500};
+inline constexpr Milliseconds kPeerHeartbeatInterval{500};
 // A connection on which nothing was received for this long is closed. It also
 // limits connecting and the exchange of hellos.
 inline constexpr Milliseconds kSilenceLimit{2000};
--- a/packages/peer/peer_loop.cc
+++ b/packages/peer/peer_loop.cc
@@ -195,7 +195,7 @@
 }
 
 MonotonicTime PeerLoop::NextDeadline(MonotonicTime now) const {
-  MonotonicTime deadline = now + kHeartbeatInterval;
+  MonotonicTime deadline = now + kPeerHeartbeatInterval;
   for (const auto& link : incoming_) {
     deadline = std::min(deadline, link->NextDeadline());
   }
--- a/packages/peer/peer_loop.h
+++ b/packages/peer/peer_loop.h
@@ -17,7 +17,6 @@
 #include "absl/synchronization/mutex.h"
 #include "packages/base/base.h"
 #include "packages/peer/event_loop.h"
-#include "packages/peer/file_descriptor.h"
 #include "packages/peer/incoming_link.h"
 #include "packages/peer/outgoing_link.h"
 #include "packages/peer/peer_handlers.h"
--- a/packages/peer/socket.h
+++ b/packages/peer/socket.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "packages/base/base.h"
-#include "packages/peer/file_descriptor.h"
 #include "packages/peer/peer_types.h"
 
 namespace bramleyrail {
--- a/packages/platform/platform_generated.h
+++ b/packages/platform/platform_generated.h
@@ -15,7 +15,7 @@
              "Non-compatible flatbuffers version included");
 
 namespace bramleyrail {
-namespace wire {
+namespace platform_wire {
 
 struct Amounts;
 
@@ -165,7 +165,7 @@
   auto task_id__ = task_id ? _fbb.CreateString(task_id) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto message__ = message ? _fbb.CreateString(message) : 0;
-  return bramleyrail::wire::CreateHeldAttempt(
+  return bramleyrail::platform_wire::CreateHeldAttempt(
       _fbb,
       task_id__,
       attempt,
@@ -189,8 +189,8 @@
   int64_t attempt() const {
     return GetField<int64_t>(VT_ATTEMPT, 0);
   }
-  const bramleyrail::wire::Amounts *used() const {
-    return GetStruct<const bramleyrail::wire::Amounts *>(VT_USED);
+  const bramleyrail::platform_wire::Amounts *used() const {
+    return GetStruct<const bramleyrail::platform_wire::Amounts *>(VT_USED);
   }
   int64_t slowdown_permille() const {
     return GetField<int64_t>(VT_SLOWDOWN_PERMILLE, 0);
@@ -200,7 +200,7 @@
            VerifyOffset(verifier, VT_TASK_ID) &&
            verifier.VerifyString(task_id()) &&
            VerifyField<int64_t>(verifier, VT_ATTEMPT, 8) &&
-           VerifyField<bramleyrail::wire::Amounts>(verifier, VT_USED, 8) &&
+           VerifyField<bramleyrail::platform_wire::Amounts>(verifier, VT_USED, 8) &&
            VerifyField<int64_t>(verifier, VT_SLOWDOWN_PERMILLE, 8) &&
            verifier.EndTable();
   }
@@ -216,7 +216,7 @@
   void add_attempt(int64_t attempt) {
     fbb_.AddElement<int64_t>(AttemptUsage::VT_ATTEMPT, attempt, 0);
   }
-  void add_used(const bramleyrail::wire::Amounts *used) {
+  void add_used(const bramleyrail::platform_wire::Amounts *used) {
     fbb_.AddStruct(AttemptUsage::VT_USED, used);
   }
   void add_slowdown_permille(int64_t slowdown_permille) {
@@ -237,7 +237,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> task_id = 0,
     int64_t attempt = 0,
-    const bramleyrail::wire::Amounts *used = nullptr,
+    const bramleyrail::platform_wire::Amounts *used = nullptr,
     int64_t slowdown_permille = 0) {
   AttemptUsageBuilder builder_(_fbb);
   builder_.add_slowdown_permille(slowdown_permille);
@@ -251,10 +251,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *task_id = nullptr,
     int64_t attempt = 0,
-    const bramleyrail::wire::Amounts *used = nullptr,
+    const bramleyrail::platform_wire::Amounts *used = nullptr,
     int64_t slowdown_permille = 0) {
   auto task_id__ = task_id ? _fbb.CreateString(task_id) : 0;
-  return bramleyrail::wire::CreateAttemptUsage(
+  return bramleyrail::platform_wire::CreateAttemptUsage(
       _fbb,
       task_id__,
       attempt,
@@ -285,14 +285,14 @@
   const flatbuffers::String *rack() const {
     return GetPointer<const flatbuffers::String *>(VT_RACK);
   }
-  const bramleyrail::wire::Amounts *capacity() const {
-    return GetStruct<const bramleyrail::wire::Amounts *>(VT_CAPACITY);
+  const bramleyrail::platform_wire::Amounts *capacity() const {
+    return GetStruct<const bramleyrail::platform_wire::Amounts *>(VT_CAPACITY);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>> *attempts() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>> *>(VT_ATTEMPTS);
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>> *attempts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>> *>(VT_ATTEMPTS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>> *usage() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>> *>(VT_USAGE);
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>> *usage() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>> *>(VT_USAGE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -304,7 +304,7 @@
            verifier.VerifyString(failure_domain()) &&
            VerifyOffset(verifier, VT_RACK) &&
            verifier.VerifyString(rack()) &&
-           VerifyField<bramleyrail::wire::Amounts>(verifier, VT_CAPACITY, 8) &&
+           VerifyField<bramleyrail::platform_wire::Amounts>(verifier, VT_CAPACITY, 8) &&
            VerifyOffset(verifier, VT_ATTEMPTS) &&
            verifier.VerifyVector(attempts()) &&
            verifier.VerifyVectorOfTables(attempts()) &&
@@ -331,13 +331,13 @@
   void add_rack(flatbuffers::Offset<flatbuffers::String> rack) {
     fbb_.AddOffset(WorkerReport::VT_RACK, rack);
   }
-  void add_capacity(const bramleyrail::wire::Amounts *capacity) {
+  void add_capacity(const bramleyrail::platform_wire::Amounts *capacity) {
     fbb_.AddStruct(WorkerReport::VT_CAPACITY, capacity);
   }
-  void add_attempts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>>> attempts) {
+  void add_attempts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>>> attempts) {
     fbb_.AddOffset(WorkerReport::VT_ATTEMPTS, attempts);
   }
-  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>>> usage) {
+  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>>> usage) {
     fbb_.AddOffset(WorkerReport::VT_USAGE, usage);
   }
   explicit WorkerReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -357,9 +357,9 @@
     flatbuffers::Offset<flatbuffers::String> boot_id = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::String> rack = 0,
-    const bramleyrail::wire::Amounts *capacity = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>>> attempts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>>> usage = 0) {
+    const bramleyrail::platform_wire::Amounts *capacity = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>>> attempts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>>> usage = 0) {
   WorkerReportBuilder builder_(_fbb);
   builder_.add_usage(usage);
   builder_.add_attempts(attempts);
@@ -377,16 +377,16 @@
     const char *boot_id = nullptr,
     const char *failure_domain = nullptr,
     const char *rack = nullptr,
-    const bramleyrail::wire::Amounts *capacity = nullptr,
-    const std::vector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>> *attempts = nullptr,
-    const std::vector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>> *usage = nullptr) {
+    const bramleyrail::platform_wire::Amounts *capacity = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>> *attempts = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>> *usage = nullptr) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto boot_id__ = boot_id ? _fbb.CreateString(boot_id) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto rack__ = rack ? _fbb.CreateString(rack) : 0;
-  auto attempts__ = attempts ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::wire::HeldAttempt>>(*attempts) : 0;
-  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::wire::AttemptUsage>>(*usage) : 0;
-  return bramleyrail::wire::CreateWorkerReport(
+  auto attempts__ = attempts ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::platform_wire::HeldAttempt>>(*attempts) : 0;
+  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::platform_wire::AttemptUsage>>(*usage) : 0;
+  return bramleyrail::platform_wire::CreateWorkerReport(
       _fbb,
       worker__,
       boot_id__,
@@ -402,8 +402,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REPORTS = 4
   };
-  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>> *reports() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>> *>(VT_REPORTS);
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>> *>(VT_REPORTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -418,7 +418,7 @@
   typedef WorkerReports Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>>> reports) {
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>>> reports) {
     fbb_.AddOffset(WorkerReports::VT_REPORTS, reports);
   }
   explicit WorkerReportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -434,7 +434,7 @@
 
 inline flatbuffers::Offset<WorkerReports> CreateWorkerReports(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>>> reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>>> reports = 0) {
   WorkerReportsBuilder builder_(_fbb);
   builder_.add_reports(reports);
   return builder_.Finish();
@@ -442,44 +442,44 @@
 
 inline flatbuffers::Offset<WorkerReports> CreateWorkerReportsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>> *reports = nullptr) {
-  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::wire::WorkerReport>>(*reports) : 0;
-  return bramleyrail::wire::CreateWorkerReports(
+    const std::vector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>> *reports = nullptr) {
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::platform_wire::WorkerReport>>(*reports) : 0;
+  return bramleyrail::platform_wire::CreateWorkerReports(
       _fbb,
       reports__);
 }
 
-inline const bramleyrail::wire::WorkerReports *GetWorkerReports(const void *buf) {
-  return flatbuffers::GetRoot<bramleyrail::wire::WorkerReports>(buf);
+inline const bramleyrail::platform_wire::WorkerReports *GetWorkerReports(const void *buf) {
+  return flatbuffers::GetRoot<bramleyrail::platform_wire::WorkerReports>(buf);
 }
 
-inline const bramleyrail::wire::WorkerReports *GetSizePrefixedWorkerReports(const void *buf) {
-  return flatbuffers::GetSizePrefixedRoot<bramleyrail::wire::WorkerReports>(buf);
+inline const bramleyrail::platform_wire::WorkerReports *GetSizePrefixedWorkerReports(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<bramleyrail::platform_wire::WorkerReports>(buf);
 }
 
 inline bool VerifyWorkerReportsBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<bramleyrail::wire::WorkerReports>(nullptr);
+  return verifier.VerifyBuffer<bramleyrail::platform_wire::WorkerReports>(nullptr);
 }
 
 inline bool VerifySizePrefixedWorkerReportsBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<bramleyrail::wire::WorkerReports>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<bramleyrail::platform_wire::WorkerReports>(nullptr);
 }
 
 inline void FinishWorkerReportsBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::WorkerReports> root) {
+    flatbuffers::Offset<bramleyrail::platform_wire::WorkerReports> root) {
   fbb.Finish(root);
 }
 
 inline void FinishSizePrefixedWorkerReportsBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::WorkerReports> root) {
+    flatbuffers::Offset<bramleyrail::platform_wire::WorkerReports> root) {
   fbb.FinishSizePrefixed(root);
 }
 
-}  // namespace wire
+}  // namespace platform_wire
 }  // namespace bramleyrail
 
 #endif  // FLATBUFFERS_GENERATED_PLATFORM_BRAMLEYRAIL_WIRE_H_
--- a/packages/replication/replication_generated.h
+++ b/packages/replication/replication_generated.h
@@ -13,7 +13,7 @@
               "Non-compatible flatbuffers version included");
 
 namespace bramleyrail {
-namespace wire {
+namespace replication_wire {
 
 struct ReplicaIdentifier;
 struct ReplicaIdentifierBuilder;
@@ -80,27 +80,27 @@
 };
 
 template <>
-struct BodyTraits<bramleyrail::wire::Consensus> {
+struct BodyTraits<bramleyrail::replication_wire::Consensus> {
   static const Body enum_value = Body::Consensus;
 };
 
 template <>
-struct BodyTraits<bramleyrail::wire::Propose> {
+struct BodyTraits<bramleyrail::replication_wire::Propose> {
   static const Body enum_value = Body::Propose;
 };
 
 template <>
-struct BodyTraits<bramleyrail::wire::ProposeResult> {
+struct BodyTraits<bramleyrail::replication_wire::ProposeResult> {
   static const Body enum_value = Body::ProposeResult;
 };
 
 template <>
-struct BodyTraits<bramleyrail::wire::FormationQuery> {
+struct BodyTraits<bramleyrail::replication_wire::FormationQuery> {
   static const Body enum_value = Body::FormationQuery;
 };
 
 template <>
-struct BodyTraits<bramleyrail::wire::FormationAnswer> {
+struct BodyTraits<bramleyrail::replication_wire::FormationAnswer> {
   static const Body enum_value = Body::FormationAnswer;
 };
 
@@ -164,7 +164,7 @@
     const char* name = nullptr,
     uint64_t generation = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
-  return bramleyrail::wire::CreateReplicaIdentifier(_fbb, name__, generation);
+  return bramleyrail::replication_wire::CreateReplicaIdentifier(_fbb, name__, generation);
 }
 
 struct ReplicaSet FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -174,16 +174,16 @@
     VT_LEARNERS = 6
   };
   const flatbuffers::Vector<
-      flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>*
+      flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>*
   voters() const {
     return GetPointer<const flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>*>(VT_VOTERS);
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>*>(VT_VOTERS);
   }
   const flatbuffers::Vector<
-      flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>*
+      flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>*
   learners() const {
     return GetPointer<const flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>*>(
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>*>(
         VT_LEARNERS);
   }
   bool Verify(flatbuffers::Verifier& verifier) const {
@@ -202,11 +202,11 @@
   flatbuffers::uoffset_t start_;
   void add_voters(
       flatbuffers::Offset<flatbuffers::Vector<
-          flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>> voters) {
+          flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>> voters) {
     fbb_.AddOffset(ReplicaSet::VT_VOTERS, voters);
   }
   void add_learners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<
-                        bramleyrail::wire::ReplicaIdentifier>>> learners) {
+                        bramleyrail::replication_wire::ReplicaIdentifier>>> learners) {
     fbb_.AddOffset(ReplicaSet::VT_LEARNERS, learners);
   }
   explicit ReplicaSetBuilder(flatbuffers::FlatBufferBuilder& _fbb)
@@ -223,9 +223,9 @@
 inline flatbuffers::Offset<ReplicaSet> CreateReplicaSet(
     flatbuffers::FlatBufferBuilder& _fbb,
     flatbuffers::Offset<flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>> voters = 0,
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>> voters = 0,
     flatbuffers::Offset<flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>> learners =
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>> learners =
         0) {
   ReplicaSetBuilder builder_(_fbb);
   builder_.add_learners(learners);
@@ -236,22 +236,22 @@
 inline flatbuffers::Offset<ReplicaSet> CreateReplicaSetDirect(
     flatbuffers::FlatBufferBuilder& _fbb,
     const std::vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>* voters =
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>* voters =
         nullptr,
     const std::vector<
-        flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>* learners =
+        flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>* learners =
         nullptr) {
   auto voters__ =
       voters ? _fbb.CreateVector<
-                   flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>(
+                   flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>(
                    *voters)
              : 0;
   auto learners__ =
       learners ? _fbb.CreateVector<
-                     flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier>>(
+                     flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier>>(
                      *learners)
                : 0;
-  return bramleyrail::wire::CreateReplicaSet(_fbb, voters__, learners__);
+  return bramleyrail::replication_wire::CreateReplicaSet(_fbb, voters__, learners__);
 }
 
 struct Entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -325,7 +325,7 @@
     uint8_t kind = 0,
     const std::vector<uint8_t>* data = nullptr) {
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
-  return bramleyrail::wire::CreateEntry(_fbb, index, term, kind, data__);
+  return bramleyrail::replication_wire::CreateEntry(_fbb, index, term, kind, data__);
 }
 
 struct Consensus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -350,11 +350,11 @@
     VT_CONFIGURATION = 36
   };
   uint8_t type() const { return GetField<uint8_t>(VT_TYPE, 0); }
-  const bramleyrail::wire::ReplicaIdentifier* from() const {
-    return GetPointer<const bramleyrail::wire::ReplicaIdentifier*>(VT_FROM);
+  const bramleyrail::replication_wire::ReplicaIdentifier* from() const {
+    return GetPointer<const bramleyrail::replication_wire::ReplicaIdentifier*>(VT_FROM);
   }
-  const bramleyrail::wire::ReplicaIdentifier* to() const {
-    return GetPointer<const bramleyrail::wire::ReplicaIdentifier*>(VT_TO);
+  const bramleyrail::replication_wire::ReplicaIdentifier* to() const {
+    return GetPointer<const bramleyrail::replication_wire::ReplicaIdentifier*>(VT_TO);
   }
   uint64_t term() const { return GetField<uint64_t>(VT_TERM, 0); }
   uint64_t index() const { return GetField<uint64_t>(VT_INDEX, 0); }
@@ -367,18 +367,18 @@
   bool transfer() const { return GetField<uint8_t>(VT_TRANSFER, 0) != 0; }
   bool observer() const { return GetField<uint8_t>(VT_OBSERVER, 0) != 0; }
   int64_t sent_at() const { return GetField<int64_t>(VT_SENT_AT, 0); }
-  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::Entry>>*
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::replication_wire::Entry>>*
   entries() const {
     return GetPointer<const flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::Entry>>*>(VT_ENTRIES);
+        flatbuffers::Offset<bramleyrail::replication_wire::Entry>>*>(VT_ENTRIES);
   }
   uint64_t offset() const { return GetField<uint64_t>(VT_OFFSET, 0); }
   uint64_t size() const { return GetField<uint64_t>(VT_SIZE, 0); }
   const flatbuffers::Vector<uint8_t>* data() const {
     return GetPointer<const flatbuffers::Vector<uint8_t>*>(VT_DATA);
   }
-  const bramleyrail::wire::ReplicaSet* configuration() const {
-    return GetPointer<const bramleyrail::wire::ReplicaSet*>(VT_CONFIGURATION);
+  const bramleyrail::replication_wire::ReplicaSet* configuration() const {
+    return GetPointer<const bramleyrail::replication_wire::ReplicaSet*>(VT_CONFIGURATION);
   }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
@@ -413,10 +413,10 @@
     fbb_.AddElement<uint8_t>(Consensus::VT_TYPE, type, 0);
   }
   void add_from(
-      flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> from) {
+      flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> from) {
     fbb_.AddOffset(Consensus::VT_FROM, from);
   }
-  void add_to(flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> to) {
+  void add_to(flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> to) {
     fbb_.AddOffset(Consensus::VT_TO, to);
   }
   void add_term(uint64_t term) {
@@ -451,7 +451,7 @@
   }
   void add_entries(
       flatbuffers::Offset<
-          flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::Entry>>>
+          flatbuffers::Vector<flatbuffers::Offset<bramleyrail::replication_wire::Entry>>>
           entries) {
     fbb_.AddOffset(Consensus::VT_ENTRIES, entries);
   }
@@ -465,7 +465,7 @@
     fbb_.AddOffset(Consensus::VT_DATA, data);
   }
   void add_configuration(
-      flatbuffers::Offset<bramleyrail::wire::ReplicaSet> configuration) {
+      flatbuffers::Offset<bramleyrail::replication_wire::ReplicaSet> configuration) {
     fbb_.AddOffset(Consensus::VT_CONFIGURATION, configuration);
   }
   explicit ConsensusBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
@@ -481,8 +481,8 @@
 inline flatbuffers::Offset<Consensus> CreateConsensus(
     flatbuffers::FlatBufferBuilder& _fbb,
     uint8_t type = 0,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> from = 0,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> to = 0,
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> from = 0,
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> to = 0,
     uint64_t term = 0,
     uint64_t index = 0,
     uint64_t log_term = 0,
@@ -493,11 +493,11 @@
     bool observer = false,
     int64_t sent_at = 0,
     flatbuffers::Offset<flatbuffers::Vector<
-        flatbuffers::Offset<bramleyrail::wire::Entry>>> entries = 0,
+        flatbuffers::Offset<bramleyrail::replication_wire::Entry>>> entries = 0,
     uint64_t offset = 0,
     uint64_t size = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaSet> configuration = 0) {
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaSet> configuration = 0) {
   ConsensusBuilder builder_(_fbb);
   builder_.add_size(size);
   builder_.add_offset(offset);
@@ -522,8 +522,8 @@
 inline flatbuffers::Offset<Consensus> CreateConsensusDirect(
     flatbuffers::FlatBufferBuilder& _fbb,
     uint8_t type = 0,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> from = 0,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaIdentifier> to = 0,
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> from = 0,
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaIdentifier> to = 0,
     uint64_t term = 0,
     uint64_t index = 0,
     uint64_t log_term = 0,
@@ -533,19 +533,19 @@
     bool transfer = false,
     bool observer = false,
     int64_t sent_at = 0,
-    const std::vector<flatbuffers::Offset<bramleyrail::wire::Entry>>* entries =
+    const std::vector<flatbuffers::Offset<bramleyrail::replication_wire::Entry>>* entries =
         nullptr,
     uint64_t offset = 0,
     uint64_t size = 0,
     const std::vector<uint8_t>* data = nullptr,
-    flatbuffers::Offset<bramleyrail::wire::ReplicaSet> configuration = 0) {
+    flatbuffers::Offset<bramleyrail::replication_wire::ReplicaSet> configuration = 0) {
   auto entries__ =
       entries
-          ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::wire::Entry>>(
+          ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::replication_wire::Entry>>(
                 *entries)
           : 0;
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
-  return bramleyrail::wire::CreateConsensus(
+  return bramleyrail::replication_wire::CreateConsensus(
       _fbb, type, from, to, term, index, log_term, rejected_index, commit,
       rejected, transfer, observer, sent_at, entries__, offset, size, data__,
       configuration);
@@ -604,7 +604,7 @@
     uint64_t call = 0,
     const std::vector<uint8_t>* command = nullptr) {
   auto command__ = command ? _fbb.CreateVector<uint8_t>(*command) : 0;
-  return bramleyrail::wire::CreatePropose(_fbb, call, command__);
+  return bramleyrail::replication_wire::CreatePropose(_fbb, call, command__);
 }
 
 struct ProposeResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -707,7 +707,7 @@
   auto error_message__ = error_message ? _fbb.CreateString(error_message) : 0;
   auto error_remedy__ = error_remedy ? _fbb.CreateString(error_remedy) : 0;
   auto answer__ = answer ? _fbb.CreateVector<uint8_t>(*answer) : 0;
-  return bramleyrail::wire::CreateProposeResult(_fbb, call, failed, error_kind,
+  return bramleyrail::replication_wire::CreateProposeResult(_fbb, call, failed, error_kind,
                                                 error_message__, error_remedy__,
                                                 answer__);
 }
@@ -820,36 +820,36 @@
     VT_BODY_TYPE = 4,
     VT_BODY = 6
   };
-  bramleyrail::wire::Body body_type() const {
-    return static_cast<bramleyrail::wire::Body>(
+  bramleyrail::replication_wire::Body body_type() const {
+    return static_cast<bramleyrail::replication_wire::Body>(
         GetField<uint8_t>(VT_BODY_TYPE, 0));
   }
   const void* body() const { return GetPointer<const void*>(VT_BODY); }
   template <typename T>
   const T* body_as() const;
-  const bramleyrail::wire::Consensus* body_as_Consensus() const {
-    return body_type() == bramleyrail::wire::Body::Consensus
-               ? static_cast<const bramleyrail::wire::Consensus*>(body())
+  const bramleyrail::replication_wire::Consensus* body_as_Consensus() const {
+    return body_type() == bramleyrail::replication_wire::Body::Consensus
+               ? static_cast<const bramleyrail::replication_wire::Consensus*>(body())
                : nullptr;
   }
-  const bramleyrail::wire::Propose* body_as_Propose() const {
-    return body_type() == bramleyrail::wire::Body::Propose
-               ? static_cast<const bramleyrail::wire::Propose*>(body())
+  const bramleyrail::replication_wire::Propose* body_as_Propose() const {
+    return body_type() == bramleyrail::replication_wire::Body::Propose
+               ? static_cast<const bramleyrail::replication_wire::Propose*>(body())
                : nullptr;
   }
-  const bramleyrail::wire::ProposeResult* body_as_ProposeResult() const {
-    return body_type() == bramleyrail::wire::Body::ProposeResult
-               ? static_cast<const bramleyrail::wire::ProposeResult*>(body())
+  const bramleyrail::replication_wire::ProposeResult* body_as_ProposeResult() const {
+    return body_type() == bramleyrail::replication_wire::Body::ProposeResult
+               ? static_cast<const bramleyrail::replication_wire::ProposeResult*>(body())
                : nullptr;
   }
-  const bramleyrail::wire::FormationQuery* body_as_FormationQuery() const {
-    return body_type() == bramleyrail::wire::Body::FormationQuery
-               ? static_cast<const bramleyrail::wire::FormationQuery*>(body())
+  const bramleyrail::replication_wire::FormationQuery* body_as_FormationQuery() const {
+    return body_type() == bramleyrail::replication_wire::Body::FormationQuery
+               ? static_cast<const bramleyrail::replication_wire::FormationQuery*>(body())
                : nullptr;
   }
-  const bramleyrail::wire::FormationAnswer* body_as_FormationAnswer() const {
-    return body_type() == bramleyrail::wire::Body::FormationAnswer
-               ? static_cast<const bramleyrail::wire::FormationAnswer*>(body())
+  const bramleyrail::replication_wire::FormationAnswer* body_as_FormationAnswer() const {
+    return body_type() == bramleyrail::replication_wire::Body::FormationAnswer
+               ? static_cast<const bramleyrail::replication_wire::FormationAnswer*>(body())
                : nullptr;
   }
   bool Verify(flatbuffers::Verifier& verifier) const {
@@ -861,32 +861,32 @@
 };
 
 template <>
-inline const bramleyrail::wire::Consensus*
-Message::body_as<bramleyrail::wire::Consensus>() const {
+inline const bramleyrail::replication_wire::Consensus*
+Message::body_as<bramleyrail::replication_wire::Consensus>() const {
   return body_as_Consensus();
 }
 
 template <>
-inline const bramleyrail::wire::Propose*
-Message::body_as<bramleyrail::wire::Propose>() const {
+inline const bramleyrail::replication_wire::Propose*
+Message::body_as<bramleyrail::replication_wire::Propose>() const {
   return body_as_Propose();
 }
 
 template <>
-inline const bramleyrail::wire::ProposeResult*
-Message::body_as<bramleyrail::wire::ProposeResult>() const {
+inline const bramleyrail::replication_wire::ProposeResult*
+Message::body_as<bramleyrail::replication_wire::ProposeResult>() const {
   return body_as_ProposeResult();
 }
 
 template <>
-inline const bramleyrail::wire::FormationQuery*
-Message::body_as<bramleyrail::wire::FormationQuery>() const {
+inline const bramleyrail::replication_wire::FormationQuery*
+Message::body_as<bramleyrail::replication_wire::FormationQuery>() const {
   return body_as_FormationQuery();
 }
 
 template <>
-inline const bramleyrail::wire::FormationAnswer*
-Message::body_as<bramleyrail::wire::FormationAnswer>() const {
+inline const bramleyrail::replication_wire::FormationAnswer*
+Message::body_as<bramleyrail::replication_wire::FormationAnswer>() const {
   return body_as_FormationAnswer();
 }
 
@@ -894,7 +894,7 @@
   typedef Message Table;
   flatbuffers::FlatBufferBuilder& fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(bramleyrail::wire::Body body_type) {
+  void add_body_type(bramleyrail::replication_wire::Body body_type) {
     fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE,
                              static_cast<uint8_t>(body_type), 0);
   }
@@ -913,7 +913,7 @@
 
 inline flatbuffers::Offset<Message> CreateMessage(
     flatbuffers::FlatBufferBuilder& _fbb,
-    bramleyrail::wire::Body body_type = bramleyrail::wire::Body::NONE,
+    bramleyrail::replication_wire::Body body_type = bramleyrail::replication_wire::Body::NONE,
     flatbuffers::Offset<void> body = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_body(body);
@@ -929,25 +929,25 @@
       return true;
     }
     case Body::Consensus: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::Consensus*>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::replication_wire::Consensus*>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::Propose: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::Propose*>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::replication_wire::Propose*>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::ProposeResult: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::ProposeResult*>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::replication_wire::ProposeResult*>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::FormationQuery: {
       auto ptr =
-          reinterpret_cast<const bramleyrail::wire::FormationQuery*>(obj);
+          reinterpret_cast<const bramleyrail::replication_wire::FormationQuery*>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::FormationAnswer: {
       auto ptr =
-          reinterpret_cast<const bramleyrail::wire::FormationAnswer*>(obj);
+          reinterpret_cast<const bramleyrail::replication_wire::FormationAnswer*>(obj);
       return verifier.VerifyTable(ptr);
     }
     default:
@@ -971,36 +971,36 @@
   return true;
 }
 
-inline const bramleyrail::wire::Message* GetMessage(const void* buf) {
-  return flatbuffers::GetRoot<bramleyrail::wire::Message>(buf);
+inline const bramleyrail::replication_wire::Message* GetMessage(const void* buf) {
+  return flatbuffers::GetRoot<bramleyrail::replication_wire::Message>(buf);
 }
 
-inline const bramleyrail::wire::Message* GetSizePrefixedMessage(
+inline const bramleyrail::replication_wire::Message* GetSizePrefixedMessage(
     const void* buf) {
-  return flatbuffers::GetSizePrefixedRoot<bramleyrail::wire::Message>(buf);
+  return flatbuffers::GetSizePrefixedRoot<bramleyrail::replication_wire::Message>(buf);
 }
 
 inline bool VerifyMessageBuffer(flatbuffers::Verifier& verifier) {
-  return verifier.VerifyBuffer<bramleyrail::wire::Message>(nullptr);
+  return verifier.VerifyBuffer<bramleyrail::replication_wire::Message>(nullptr);
 }
 
 inline bool VerifySizePrefixedMessageBuffer(flatbuffers::Verifier& verifier) {
-  return verifier.VerifySizePrefixedBuffer<bramleyrail::wire::Message>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<bramleyrail::replication_wire::Message>(nullptr);
 }
 
 inline void FinishMessageBuffer(
     flatbuffers::FlatBufferBuilder& fbb,
-    flatbuffers::Offset<bramleyrail::wire::Message> root) {
+    flatbuffers::Offset<bramleyrail::replication_wire::Message> root) {
   fbb.Finish(root);
 }
 
 inline void FinishSizePrefixedMessageBuffer(
     flatbuffers::FlatBufferBuilder& fbb,
-    flatbuffers::Offset<bramleyrail::wire::Message> root) {
+    flatbuffers::Offset<bramleyrail::replication_wire::Message> root) {
   fbb.FinishSizePrefixed(root);
 }
 
-}  // namespace wire
+}  // namespace replication_wire
 }  // namespace bramleyrail
 
 #endif  // FLATBUFFERS_GENERATED_REPLICATION_BRAMLEYRAIL_WIRE_H_
--- a/packages/replication/wire_message.cc
+++ b/packages/replication/wire_message.cc
@@ -32,22 +32,22 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-Offset<wire::ReplicaIdentifier> WriteId(FlatBufferBuilder* builder,
-                                        const ReplicaId& id) {
-  return wire::CreateReplicaIdentifierDirect(*builder, id.name.c_str(),
-                                             id.generation);
+Offset<replication_wire::ReplicaIdentifier> WriteId(FlatBufferBuilder* builder,
+                                                    const ReplicaId& id) {
+  return replication_wire::CreateReplicaIdentifierDirect(
+      *builder, id.name.c_str(), id.generation);
 }
 
-ReplicaId ReadId(const wire::ReplicaIdentifier* id) {
+ReplicaId ReadId(const replication_wire::ReplicaIdentifier* id) {
   return id == nullptr ? ReplicaId()
                        : ReplicaId{ReadText(id->name()), id->generation()};
 }
 
-using IdVector = Vector<Offset<wire::ReplicaIdentifier>>;
+using IdVector = Vector<Offset<replication_wire::ReplicaIdentifier>>;
 
 Offset<IdVector> WriteIds(FlatBufferBuilder* builder,
                           const std::vector<ReplicaId>& ids) {
-  std::vector<Offset<wire::ReplicaIdentifier>> offsets;
+  std::vector<Offset<replication_wire::ReplicaIdentifier>> offsets;
   offsets.reserve(ids.size());
   for (const ReplicaId& id : ids) {
     offsets.push_back(WriteId(builder, id));
@@ -58,22 +58,23 @@
 std::vector<ReplicaId> ReadIds(const IdVector* ids) {
   std::vector<ReplicaId> result;
   if (ids != nullptr) {
-    for (const wire::ReplicaIdentifier* id : *ids) {
+    for (const replication_wire::ReplicaIdentifier* id : *ids) {
       result.push_back(ReadId(id));
     }
   }
   return result;
 }
 
-Offset<wire::Consensus> WriteConsensus(FlatBufferBuilder* builder,
-                                       const ConsensusMessage& message) {
-  std::vector<Offset<wire::Entry>> entries;
+Offset<replication_wire::Consensus> WriteConsensus(
+    FlatBufferBuilder* builder,
+    const ConsensusMessage& message) {
+  std::vector<Offset<replication_wire::Entry>> entries;
   entries.reserve(message.entries.size());
   for (const LogEntry& entry : message.entries) {
     const auto data = WriteBytes(builder, entry.data);
-    entries.push_back(wire::CreateEntry(*builder, entry.index, entry.term,
-                                        static_cast<uint8_t>(entry.kind),
-                                        data));
+    entries.push_back(
+        replication_wire::CreateEntry(*builder, entry.index, entry.term,
+                                      static_cast<uint8_t>(entry.kind), data));
   }
   const auto entry_vector = builder->CreateVector(entries);
   const auto from = WriteId(builder, message.from);
@@ -81,8 +82,9 @@
   const auto data = WriteBytes(builder, message.data);
   const auto voters = WriteIds(builder, message.configuration.voters);
   const auto learners = WriteIds(builder, message.configuration.learners);
-  const auto configuration = wire::CreateReplicaSet(*builder, voters, learners);
-  wire::ConsensusBuilder body(*builder);
+  const auto configuration =
+      replication_wire::CreateReplicaSet(*builder, voters, learners);
+  replication_wire::ConsensusBuilder body(*builder);
   body.add_type(static_cast<uint8_t>(message.type));
   body.add_from(from);
   body.add_to(to);
@@ -109,7 +111,7 @@
                    "run the same version of bramleyrail on every instance");
 }
 
-Result<WireMessage> ReadConsensus(const wire::Consensus& body) {
+Result<WireMessage> ReadConsensus(const replication_wire::Consensus& body) {
   if (body.type() > static_cast<uint8_t>(kLastMessageType)) {
     return MakeMessageError("has an unknown type");
   }
@@ -136,7 +138,7 @@
   if (body.entries() == nullptr) {
     return WireMessage(std::move(message));
   }
-  for (const wire::Entry* entry : *body.entries()) {
+  for (const replication_wire::Entry* entry : *body.entries()) {
     if (entry->kind() > static_cast<uint8_t>(EntryKind::kConfiguration)) {
       return MakeMessageError("has an entry of unknown kind");
     }
@@ -153,7 +155,7 @@
   return WireMessage(std::move(message));
 }
 
-Result<WireMessage> ReadResult(const wire::ProposeResult& body) {
+Result<WireMessage> ReadResult(const replication_wire::ProposeResult& body) {
   if (!body.failed()) {
     return WireMessage(
         ForwardedResult{body.call(), std::nullopt, ReadBytes(body.answer())});
@@ -171,39 +173,43 @@
 struct BodyWriter {
   FlatBufferBuilder* builder;
 
-  using Body = std::pair<wire::Body, Offset<void>>;
+  using Body = std::pair<replication_wire::Body, Offset<void>>;
 
   Body operator()(const ConsensusMessage& message) const {
-    return {wire::Body::Consensus, WriteConsensus(builder, message).Union()};
+    return {replication_wire::Body::Consensus,
+            WriteConsensus(builder, message).Union()};
   }
   Body operator()(const ForwardedProposal& proposal) const {
     const auto command = WriteBytes(builder, proposal.command);
-    return {wire::Body::Propose,
-            wire::CreatePropose(*builder, proposal.call, command).Union()};
+    return {replication_wire::Body::Propose,
+            replication_wire::CreatePropose(*builder, proposal.call, command)
+                .Union()};
   }
   Body operator()(const ForwardedResult& result) const {
     if (!result.error) {
       const auto answer = WriteBytes(builder, result.answer);
-      return {wire::Body::ProposeResult,
-              wire::CreateProposeResult(*builder, result.call, false, 0, 0, 0,
-                                        answer)
+      return {replication_wire::Body::ProposeResult,
+              replication_wire::CreateProposeResult(*builder, result.call,
+                                                    false, 0, 0, 0, answer)
                   .Union()};
     }
     const Error& error = *result.error;
-    return {wire::Body::ProposeResult,
-            wire::CreateProposeResultDirect(
+    return {replication_wire::Body::ProposeResult,
+            replication_wire::CreateProposeResultDirect(
                 *builder, result.call, true, static_cast<uint8_t>(error.kind),
                 error.message.c_str(), error.remedy.c_str())
                 .Union()};
   }
   Body operator()(const FormationQuery& query) const {
-    return {wire::Body::FormationQuery,
-            wire::CreateFormationQuery(*builder, query.nonce).Union()};
+    return {
+        replication_wire::Body::FormationQuery,
+        replication_wire::CreateFormationQuery(*builder, query.nonce).Union()};
   }
   Body operator()(const FormationAnswer& answer) const {
-    return {wire::Body::FormationAnswer,
-            wire::CreateFormationAnswer(*builder, answer.nonce, answer.formed,
-                                        answer.term, answer.last_index)
+    return {replication_wire::Body::FormationAnswer,
+            replication_wire::CreateFormationAnswer(*builder, answer.nonce,
+                                                    answer.formed, answer.term,
+                                                    answer.last_index)
                 .Union()};
   }
 };
@@ -213,7 +219,7 @@
 Bytes EncodeWireMessage(const WireMessage& message) {
   FlatBufferBuilder builder;
   const auto [type, body] = std::visit(BodyWriter{&builder}, message);
-  builder.Finish(wire::CreateMessage(builder, type, body));
+  builder.Finish(replication_wire::CreateMessage(builder, type, body));
   const auto* begin =
       reinterpret_cast<const std::byte*>(builder.GetBufferPointer());
   return Bytes(begin, begin + builder.GetSize());
@@ -222,24 +228,28 @@
 Result<WireMessage> DecodeWireMessage(std::span<const std::byte> data) {
   const auto* begin = reinterpret_cast<const uint8_t*>(data.data());
   flatbuffers::Verifier verifier(begin, data.size());
-  if (!wire::VerifyMessageBuffer(verifier)) {
+  if (!replication_wire::VerifyMessageBuffer(verifier)) {
     return MakeMessageError("is damaged");
   }
-  const wire::Message& message = *wire::GetMessage(begin);
-  if (const wire::Consensus* body = message.body_as_Consensus()) {
+  const replication_wire::Message& message =
+      *replication_wire::GetMessage(begin);
+  if (const replication_wire::Consensus* body = message.body_as_Consensus()) {
     return ReadConsensus(*body);
   }
-  if (const wire::Propose* body = message.body_as_Propose()) {
+  if (const replication_wire::Propose* body = message.body_as_Propose()) {
     return WireMessage(
         ForwardedProposal{body->call(), ReadBytes(body->command())});
   }
-  if (const wire::ProposeResult* body = message.body_as_ProposeResult()) {
+  if (const replication_wire::ProposeResult* body =
+          message.body_as_ProposeResult()) {
     return ReadResult(*body);
   }
-  if (const wire::FormationQuery* body = message.body_as_FormationQuery()) {
+  if (const replication_wire::FormationQuery* body =
+          message.body_as_FormationQuery()) {
     return WireMessage(FormationQuery{body->nonce()});
   }
-  if (const wire::FormationAnswer* body = message.body_as_FormationAnswer()) {
+  if (const replication_wire::FormationAnswer* body =
+          message.body_as_FormationAnswer()) {
     return WireMessage(FormationAnswer{body->nonce(), body->formed(),
                                        body->term(), body->last_index()});
   }
--- a/packages/routing/routing_generated.h
+++ b/packages/routing/routing_generated.h
@@ -14,7 +14,7 @@
              "Non-compatible flatbuffers version included");
 
 namespace bramleyrail {
-namespace wire {
+namespace routing_wire {
 
 struct ServiceSummary;
 struct ServiceSummaryBuilder;
@@ -152,43 +152,43 @@
   static const Body enum_value = Body::NONE;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::TargetSummary> {
+template<> struct BodyTraits<bramleyrail::routing_wire::TargetSummary> {
   static const Body enum_value = Body::TargetSummary;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::ForwardedRequest> {
+template<> struct BodyTraits<bramleyrail::routing_wire::ForwardedRequest> {
   static const Body enum_value = Body::ForwardedRequest;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::ForwardedAnswer> {
+template<> struct BodyTraits<bramleyrail::routing_wire::ForwardedAnswer> {
   static const Body enum_value = Body::ForwardedAnswer;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::WatchOpen> {
+template<> struct BodyTraits<bramleyrail::routing_wire::WatchOpen> {
   static const Body enum_value = Body::WatchOpen;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::WatchOpened> {
+template<> struct BodyTraits<bramleyrail::routing_wire::WatchOpened> {
   static const Body enum_value = Body::WatchOpened;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::WatchEvent> {
+template<> struct BodyTraits<bramleyrail::routing_wire::WatchEvent> {
   static const Body enum_value = Body::WatchEvent;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::WatchEnd> {
+template<> struct BodyTraits<bramleyrail::routing_wire::WatchEnd> {
   static const Body enum_value = Body::WatchEnd;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::WatchKeepAlive> {
+template<> struct BodyTraits<bramleyrail::routing_wire::WatchKeepAlive> {
   static const Body enum_value = Body::WatchKeepAlive;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::RequestStateQuery> {
+template<> struct BodyTraits<bramleyrail::routing_wire::RequestStateQuery> {
   static const Body enum_value = Body::RequestStateQuery;
 };
 
-template<> struct BodyTraits<bramleyrail::wire::RequestStateAnswer> {
+template<> struct BodyTraits<bramleyrail::routing_wire::RequestStateAnswer> {
   static const Body enum_value = Body::RequestStateAnswer;
 };
 
@@ -286,7 +286,7 @@
     int64_t free_connections = 0,
     double latency_ms = 0.0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
-  return bramleyrail::wire::CreateServiceSummary(
+  return bramleyrail::routing_wire::CreateServiceSummary(
       _fbb,
       service__,
       targets,
@@ -308,8 +308,8 @@
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>> *services() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>> *>(VT_SERVICES);
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>> *services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>> *>(VT_SERVICES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -334,7 +334,7 @@
   void add_region(flatbuffers::Offset<flatbuffers::String> region) {
     fbb_.AddOffset(TargetSummary::VT_REGION, region);
   }
-  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>>> services) {
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>>> services) {
     fbb_.AddOffset(TargetSummary::VT_SERVICES, services);
   }
   explicit TargetSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -354,7 +354,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>>> services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>>> services = 0) {
   TargetSummaryBuilder builder_(_fbb);
   builder_.add_services(services);
   builder_.add_region(region);
@@ -366,11 +366,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *failure_domain = nullptr,
     const char *region = nullptr,
-    const std::vector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>> *services = nullptr) {
+    const std::vector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>> *services = nullptr) {
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
-  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::wire::ServiceSummary>>(*services) : 0;
-  return bramleyrail::wire::CreateTargetSummary(
+  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<bramleyrail::routing_wire::ServiceSummary>>(*services) : 0;
+  return bramleyrail::routing_wire::CreateTargetSummary(
       _fbb,
       failure_domain__,
       region__,
@@ -500,7 +500,7 @@
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
-  return bramleyrail::wire::CreateForwardedRequest(
+  return bramleyrail::routing_wire::CreateForwardedRequest(
       _fbb,
       request_id__,
       service__,
@@ -521,8 +521,8 @@
     VT_TARGET = 12,
     VT_MESSAGE = 14
   };
-  bramleyrail::wire::Outcome outcome() const {
-    return static_cast<bramleyrail::wire::Outcome>(GetField<int8_t>(VT_OUTCOME, 0));
+  bramleyrail::routing_wire::Outcome outcome() const {
+    return static_cast<bramleyrail::routing_wire::Outcome>(GetField<int8_t>(VT_OUTCOME, 0));
   }
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -559,7 +559,7 @@
   typedef ForwardedAnswer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_outcome(bramleyrail::wire::Outcome outcome) {
+  void add_outcome(bramleyrail::routing_wire::Outcome outcome) {
     fbb_.AddElement<int8_t>(ForwardedAnswer::VT_OUTCOME, static_cast<int8_t>(outcome), 0);
   }
   void add_status(int32_t status) {
@@ -590,7 +590,7 @@
 
 inline flatbuffers::Offset<ForwardedAnswer> CreateForwardedAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bramleyrail::wire::Outcome outcome = bramleyrail::wire::Outcome::Answered,
+    bramleyrail::routing_wire::Outcome outcome = bramleyrail::routing_wire::Outcome::Answered,
     int32_t status = 0,
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
@@ -608,7 +608,7 @@
 
 inline flatbuffers::Offset<ForwardedAnswer> CreateForwardedAnswerDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bramleyrail::wire::Outcome outcome = bramleyrail::wire::Outcome::Answered,
+    bramleyrail::routing_wire::Outcome outcome = bramleyrail::routing_wire::Outcome::Answered,
     int32_t status = 0,
     const char *content_type = nullptr,
     const std::vector<uint8_t> *body = nullptr,
@@ -618,7 +618,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto message__ = message ? _fbb.CreateString(message) : 0;
-  return bramleyrail::wire::CreateForwardedAnswer(
+  return bramleyrail::routing_wire::CreateForwardedAnswer(
       _fbb,
       outcome,
       status,
@@ -716,7 +716,7 @@
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
   auto last_event_id__ = last_event_id ? _fbb.CreateString(last_event_id) : 0;
-  return bramleyrail::wire::CreateWatchOpen(
+  return bramleyrail::routing_wire::CreateWatchOpen(
       _fbb,
       watch_id__,
       service__,
@@ -731,8 +731,8 @@
     VT_TARGET = 6,
     VT_MESSAGE = 8
   };
-  bramleyrail::wire::Outcome outcome() const {
-    return static_cast<bramleyrail::wire::Outcome>(GetField<int8_t>(VT_OUTCOME, 0));
+  bramleyrail::routing_wire::Outcome outcome() const {
+    return static_cast<bramleyrail::routing_wire::Outcome>(GetField<int8_t>(VT_OUTCOME, 0));
   }
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -755,7 +755,7 @@
   typedef WatchOpened Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_outcome(bramleyrail::wire::Outcome outcome) {
+  void add_outcome(bramleyrail::routing_wire::Outcome outcome) {
     fbb_.AddElement<int8_t>(WatchOpened::VT_OUTCOME, static_cast<int8_t>(outcome), 0);
   }
   void add_target(flatbuffers::Offset<flatbuffers::String> target) {
@@ -777,7 +777,7 @@
 
 inline flatbuffers::Offset<WatchOpened> CreateWatchOpened(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bramleyrail::wire::Outcome outcome = bramleyrail::wire::Outcome::Answered,
+    bramleyrail::routing_wire::Outcome outcome = bramleyrail::routing_wire::Outcome::Answered,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::String> message = 0) {
   WatchOpenedBuilder builder_(_fbb);
@@ -789,12 +789,12 @@
 
 inline flatbuffers::Offset<WatchOpened> CreateWatchOpenedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bramleyrail::wire::Outcome outcome = bramleyrail::wire::Outcome::Answered,
+    bramleyrail::routing_wire::Outcome outcome = bramleyrail::routing_wire::Outcome::Answered,
     const char *target = nullptr,
     const char *message = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto message__ = message ? _fbb.CreateString(message) : 0;
-  return bramleyrail::wire::CreateWatchOpened(
+  return bramleyrail::routing_wire::CreateWatchOpened(
       _fbb,
       outcome,
       target__,
@@ -872,7 +872,7 @@
     const char *line = nullptr) {
   auto watch_id__ = watch_id ? _fbb.CreateString(watch_id) : 0;
   auto line__ = line ? _fbb.CreateString(line) : 0;
-  return bramleyrail::wire::CreateWatchEvent(
+  return bramleyrail::routing_wire::CreateWatchEvent(
       _fbb,
       watch_id__,
       position,
@@ -950,7 +950,7 @@
     const char *reason = nullptr) {
   auto watch_id__ = watch_id ? _fbb.CreateString(watch_id) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
-  return bramleyrail::wire::CreateWatchEnd(
+  return bramleyrail::routing_wire::CreateWatchEnd(
       _fbb,
       watch_id__,
       position,
@@ -1004,7 +1004,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *watch_id = nullptr) {
   auto watch_id__ = watch_id ? _fbb.CreateString(watch_id) : 0;
-  return bramleyrail::wire::CreateWatchKeepAlive(
+  return bramleyrail::routing_wire::CreateWatchKeepAlive(
       _fbb,
       watch_id__);
 }
@@ -1056,7 +1056,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request_id = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
-  return bramleyrail::wire::CreateRequestStateQuery(
+  return bramleyrail::routing_wire::CreateRequestStateQuery(
       _fbb,
       request_id__);
 }
@@ -1118,7 +1118,7 @@
     bool found = false,
     const char *record = nullptr) {
   auto record__ = record ? _fbb.CreateString(record) : 0;
-  return bramleyrail::wire::CreateRequestStateAnswer(
+  return bramleyrail::routing_wire::CreateRequestStateAnswer(
       _fbb,
       found,
       record__);
@@ -1130,42 +1130,42 @@
     VT_BODY_TYPE = 4,
     VT_BODY = 6
   };
-  bramleyrail::wire::Body body_type() const {
-    return static_cast<bramleyrail::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  bramleyrail::routing_wire::Body body_type() const {
+    return static_cast<bramleyrail::routing_wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
   }
   const void *body() const {
     return GetPointer<const void *>(VT_BODY);
   }
   template<typename T> const T *body_as() const;
-  const bramleyrail::wire::TargetSummary *body_as_TargetSummary() const {
-    return body_type() == bramleyrail::wire::Body::TargetSummary ? static_cast<const bramleyrail::wire::TargetSummary *>(body()) : nullptr;
+  const bramleyrail::routing_wire::TargetSummary *body_as_TargetSummary() const {
+    return body_type() == bramleyrail::routing_wire::Body::TargetSummary ? static_cast<const bramleyrail::routing_wire::TargetSummary *>(body()) : nullptr;
   }
-  const bramleyrail::wire::ForwardedRequest *body_as_ForwardedRequest() const {
-    return body_type() == bramleyrail::wire::Body::ForwardedRequest ? static_cast<const bramleyrail::wire::ForwardedRequest *>(body()) : nullptr;
+  const bramleyrail::routing_wire::ForwardedRequest *body_as_ForwardedRequest() const {
+    return body_type() == bramleyrail::routing_wire::Body::ForwardedRequest ? static_cast<const bramleyrail::routing_wire::ForwardedRequest *>(body()) : nullptr;
   }
-  const bramleyrail::wire::ForwardedAnswer *body_as_ForwardedAnswer() const {
-    return body_type() == bramleyrail::wire::Body::ForwardedAnswer ? static_cast<const bramleyrail::wire::ForwardedAnswer *>(body()) : nullptr;
+  const bramleyrail::routing_wire::ForwardedAnswer *body_as_ForwardedAnswer() const {
+    return body_type() == bramleyrail::routing_wire::Body::ForwardedAnswer ? static_cast<const bramleyrail::routing_wire::ForwardedAnswer *>(body()) : nullptr;
   }
-  const bramleyrail::wire::WatchOpen *body_as_WatchOpen() const {
-    return body_type() == bramleyrail::wire::Body::WatchOpen ? static_cast<const bramleyrail::wire::WatchOpen *>(body()) : nullptr;
+  const bramleyrail::routing_wire::WatchOpen *body_as_WatchOpen() const {
+    return body_type() == bramleyrail::routing_wire::Body::WatchOpen ? static_cast<const bramleyrail::routing_wire::WatchOpen *>(body()) : nullptr;
   }
-  const bramleyrail::wire::WatchOpened *body_as_WatchOpened() const {
-    return body_type() == bramleyrail::wire::Body::WatchOpened ? static_cast<const bramleyrail::wire::WatchOpened *>(body()) : nullptr;
+  const bramleyrail::routing_wire::WatchOpened *body_as_WatchOpened() const {
+    return body_type() == bramleyrail::routing_wire::Body::WatchOpened ? static_cast<const bramleyrail::routing_wire::WatchOpened *>(body()) : nullptr;
   }
-  const bramleyrail::wire::WatchEvent *body_as_WatchEvent() const {
-    return body_type() == bramleyrail::wire::Body::WatchEvent ? static_cast<const bramleyrail::wire::WatchEvent *>(body()) : nullptr;
+  const bramleyrail::routing_wire::WatchEvent *body_as_WatchEvent() const {
+    return body_type() == bramleyrail::routing_wire::Body::WatchEvent ? static_cast<const bramleyrail::routing_wire::WatchEvent *>(body()) : nullptr;
   }
-  const bramleyrail::wire::WatchEnd *body_as_WatchEnd() const {
-    return body_type() == bramleyrail::wire::Body::WatchEnd ? static_cast<const bramleyrail::wire::WatchEnd *>(body()) : nullptr;
+  const bramleyrail::routing_wire::WatchEnd *body_as_WatchEnd() const {
+    return body_type() == bramleyrail::routing_wire::Body::WatchEnd ? static_cast<const bramleyrail::routing_wire::WatchEnd *>(body()) : nullptr;
   }
-  const bramleyrail::wire::WatchKeepAlive *body_as_WatchKeepAlive() const {
-    return body_type() == bramleyrail::wire::Body::WatchKeepAlive ? static_cast<const bramleyrail::wire::WatchKeepAlive *>(body()) : nullptr;
+  const bramleyrail::routing_wire::WatchKeepAlive *body_as_WatchKeepAlive() const {
+    return body_type() == bramleyrail::routing_wire::Body::WatchKeepAlive ? static_cast<const bramleyrail::routing_wire::WatchKeepAlive *>(body()) : nullptr;
   }
-  const bramleyrail::wire::RequestStateQuery *body_as_RequestStateQuery() const {
-    return body_type() == bramleyrail::wire::Body::RequestStateQuery ? static_cast<const bramleyrail::wire::RequestStateQuery *>(body()) : nullptr;
+  const bramleyrail::routing_wire::RequestStateQuery *body_as_RequestStateQuery() const {
+    return body_type() == bramleyrail::routing_wire::Body::RequestStateQuery ? static_cast<const bramleyrail::routing_wire::RequestStateQuery *>(body()) : nullptr;
   }
-  const bramleyrail::wire::RequestStateAnswer *body_as_RequestStateAnswer() const {
-    return body_type() == bramleyrail::wire::Body::RequestStateAnswer ? static_cast<const bramleyrail::wire::RequestStateAnswer *>(body()) : nullptr;
+  const bramleyrail::routing_wire::RequestStateAnswer *body_as_RequestStateAnswer() const {
+    return body_type() == bramleyrail::routing_wire::Body::RequestStateAnswer ? static_cast<const bramleyrail::routing_wire::RequestStateAnswer *>(body()) : nullptr;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1176,43 +1176,43 @@
   }
 };
 
-template<> inline const bramleyrail::wire::TargetSummary *Message::body_as<bramleyrail::wire::TargetSummary>() const {
+template<> inline const bramleyrail::routing_wire::TargetSummary *Message::body_as<bramleyrail::routing_wire::TargetSummary>() const {
   return body_as_TargetSummary();
 }
 
-template<> inline const bramleyrail::wire::ForwardedRequest *Message::body_as<bramleyrail::wire::ForwardedRequest>() const {
+template<> inline const bramleyrail::routing_wire::ForwardedRequest *Message::body_as<bramleyrail::routing_wire::ForwardedRequest>() const {
   return body_as_ForwardedRequest();
 }
 
-template<> inline const bramleyrail::wire::ForwardedAnswer *Message::body_as<bramleyrail::wire::ForwardedAnswer>() const {
+template<> inline const bramleyrail::routing_wire::ForwardedAnswer *Message::body_as<bramleyrail::routing_wire::ForwardedAnswer>() const {
   return body_as_ForwardedAnswer();
 }
 
-template<> inline const bramleyrail::wire::WatchOpen *Message::body_as<bramleyrail::wire::WatchOpen>() const {
+template<> inline const bramleyrail::routing_wire::WatchOpen *Message::body_as<bramleyrail::routing_wire::WatchOpen>() const {
   return body_as_WatchOpen();
 }
 
-template<> inline const bramleyrail::wire::WatchOpened *Message::body_as<bramleyrail::wire::WatchOpened>() const {
+template<> inline const bramleyrail::routing_wire::WatchOpened *Message::body_as<bramleyrail::routing_wire::WatchOpened>() const {
   return body_as_WatchOpened();
 }
 
-template<> inline const bramleyrail::wire::WatchEvent *Message::body_as<bramleyrail::wire::WatchEvent>() const {
+template<> inline const bramleyrail::routing_wire::WatchEvent *Message::body_as<bramleyrail::routing_wire::WatchEvent>() const {
   return body_as_WatchEvent();
 }
 
-template<> inline const bramleyrail::wire::WatchEnd *Message::body_as<bramleyrail::wire::WatchEnd>() const {
+template<> inline const bramleyrail::routing_wire::WatchEnd *Message::body_as<bramleyrail::routing_wire::WatchEnd>() const {
   return body_as_WatchEnd();
 }
 
-template<> inline const bramleyrail::wire::WatchKeepAlive *Message::body_as<bramleyrail::wire::WatchKeepAlive>() const {
+template<> inline const bramleyrail::routing_wire::WatchKeepAlive *Message::body_as<bramleyrail::routing_wire::WatchKeepAlive>() const {
   return body_as_WatchKeepAlive();
 }
 
-template<> inline const bramleyrail::wire::RequestStateQuery *Message::body_as<bramleyrail::wire::RequestStateQuery>() const {
+template<> inline const bramleyrail::routing_wire::RequestStateQuery *Message::body_as<bramleyrail::routing_wire::RequestStateQuery>() const {
   return body_as_RequestStateQuery();
 }
 
-template<> inline const bramleyrail::wire::RequestStateAnswer *Message::body_as<bramleyrail::wire::RequestStateAnswer>() const {
+template<> inline const bramleyrail::routing_wire::RequestStateAnswer *Message::body_as<bramleyrail::routing_wire::RequestStateAnswer>() const {
   return body_as_RequestStateAnswer();
 }
 
@@ -1220,7 +1220,7 @@
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(bramleyrail::wire::Body body_type) {
+  void add_body_type(bramleyrail::routing_wire::Body body_type) {
     fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
   }
   void add_body(flatbuffers::Offset<void> body) {
@@ -1240,7 +1240,7 @@
 
 inline flatbuffers::Offset<Message> CreateMessage(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bramleyrail::wire::Body body_type = bramleyrail::wire::Body::NONE,
+    bramleyrail::routing_wire::Body body_type = bramleyrail::routing_wire::Body::NONE,
     flatbuffers::Offset<void> body = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_body(body);
@@ -1254,43 +1254,43 @@
       return true;
     }
     case Body::TargetSummary: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::TargetSummary *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::TargetSummary *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::ForwardedRequest: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::ForwardedRequest *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::ForwardedRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::ForwardedAnswer: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::ForwardedAnswer *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::ForwardedAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::WatchOpen: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::WatchOpen *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::WatchOpen *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::WatchOpened: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::WatchOpened *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::WatchOpened *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::WatchEvent: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::WatchEvent *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::WatchEvent *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::WatchEnd: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::WatchEnd *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::WatchEnd *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::WatchKeepAlive: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::WatchKeepAlive *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::WatchKeepAlive *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::RequestStateQuery: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::RequestStateQuery *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::RequestStateQuery *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::RequestStateAnswer: {
-      auto ptr = reinterpret_cast<const bramleyrail::wire::RequestStateAnswer *>(obj);
+      auto ptr = reinterpret_cast<const bramleyrail::routing_wire::RequestStateAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
@@ -1309,37 +1309,37 @@
   return true;
 }
 
-inline const bramleyrail::wire::Message *GetMessage(const void *buf) {
-  return flatbuffers::GetRoot<bramleyrail::wire::Message>(buf);
+inline const bramleyrail::routing_wire::Message *GetMessage(const void *buf) {
+  return flatbuffers::GetRoot<bramleyrail::routing_wire::Message>(buf);
 }
 
-inline const bramleyrail::wire::Message *GetSizePrefixedMessage(const void *buf) {
-  return flatbuffers::GetSizePrefixedRoot<bramleyrail::wire::Message>(buf);
+inline const bramleyrail::routing_wire::Message *GetSizePrefixedMessage(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<bramleyrail::routing_wire::Message>(buf);
 }
 
 inline bool VerifyMessageBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<bramleyrail::wire::Message>(nullptr);
+  return verifier.VerifyBuffer<bramleyrail::routing_wire::Message>(nullptr);
 }
 
 inline bool VerifySizePrefixedMessageBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<bramleyrail::wire::Message>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<bramleyrail::routing_wire::Message>(nullptr);
 }
 
 inline void FinishMessageBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::Message> root) {
+    flatbuffers::Offset<bramleyrail::routing_wire::Message> root) {
   fbb.Finish(root);
 }
 
 inline void FinishSizePrefixedMessageBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::Message> root) {
+    flatbuffers::Offset<bramleyrail::routing_wire::Message> root) {
   fbb.FinishSizePrefixed(root);
 }
 
-}  // namespace wire
+}  // namespace routing_wire
 }  // namespace bramleyrail
 
 #endif  // FLATBUFFERS_GENERATED_ROUTING_BRAMLEYRAIL_WIRE_H_
--- a/packages/routing/routing_message.cc
+++ b/packages/routing/routing_message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 using flatbuffers::FlatBufferBuilder;
-using Encoded = std::pair<wire::Body, flatbuffers::Offset<void>>;
+using Encoded = std::pair<routing_wire::Body, flatbuffers::Offset<void>>;
 
 std::string ToText(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
@@ -27,29 +27,30 @@
                                bytes.size());
 }
 
-wire::Outcome ToWire(RequestOutcome outcome) {
-  return static_cast<wire::Outcome>(outcome);
+routing_wire::Outcome ToWire(RequestOutcome outcome) {
+  return static_cast<routing_wire::Outcome>(outcome);
 }
 
 // An outcome that this version does not know must not count as "not run".
-RequestOutcome FromWire(wire::Outcome outcome) {
-  return outcome >= wire::Outcome::MIN && outcome <= wire::Outcome::MAX
+RequestOutcome FromWire(routing_wire::Outcome outcome) {
+  return outcome >= routing_wire::Outcome::MIN &&
+                 outcome <= routing_wire::Outcome::MAX
              ? static_cast<RequestOutcome>(outcome)
              : RequestOutcome::kOutcomeUnknown;
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const TargetSummary& message) {
-  std::vector<flatbuffers::Offset<wire::ServiceSummary>> services;
+  std::vector<flatbuffers::Offset<routing_wire::ServiceSummary>> services;
   for (const ServiceSummary& service : message.services) {
-    services.push_back(wire::CreateServiceSummaryDirect(
+    services.push_back(routing_wire::CreateServiceSummaryDirect(
         *builder, service.service.c_str(), service.targets, service.free_slots,
         service.free_connections, service.latency_ms));
   }
-  return {
-      wire::Body::TargetSummary,
-      wire::CreateTargetSummaryDirect(*builder, message.failure_domain.c_str(),
-                                      message.region.c_str(), &services)
-          .Union()};
+  return {routing_wire::Body::TargetSummary,
+          routing_wire::CreateTargetSummaryDirect(
+              *builder, message.failure_domain.c_str(), message.region.c_str(),
+              &services)
+              .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const ForwardedRequest& message) {
@@ -58,8 +59,8 @@
   const auto caller = builder->CreateString(message.caller);
   const auto content_type = builder->CreateString(message.content_type);
   const auto body = ToVector(builder, message.body);
-  return {wire::Body::ForwardedRequest,
-          wire::CreateForwardedRequest(
+  return {routing_wire::Body::ForwardedRequest,
+          routing_wire::CreateForwardedRequest(
               *builder, request_id, service, caller, message.idempotent,
               message.remaining.count(), content_type, body)
               .Union()};
@@ -70,71 +71,75 @@
   const auto body = ToVector(builder, message.body);
   const auto target = builder->CreateString(message.target);
   const auto text = builder->CreateString(message.message);
-  return {wire::Body::ForwardedAnswer,
-          wire::CreateForwardedAnswer(*builder, ToWire(message.outcome),
-                                      message.status, content_type, body,
-                                      target, text)
+  return {routing_wire::Body::ForwardedAnswer,
+          routing_wire::CreateForwardedAnswer(*builder, ToWire(message.outcome),
+                                              message.status, content_type,
+                                              body, target, text)
               .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const WatchOpen& message) {
-  return {wire::Body::WatchOpen,
-          wire::CreateWatchOpenDirect(
+  return {routing_wire::Body::WatchOpen,
+          routing_wire::CreateWatchOpenDirect(
               *builder, message.watch_id.c_str(), message.service.c_str(),
               message.caller.c_str(), message.last_event_id.c_str())
               .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const WatchOpened& message) {
-  return {wire::Body::WatchOpened,
-          wire::CreateWatchOpenedDirect(*builder, ToWire(message.outcome),
-                                        message.target.c_str(),
-                                        message.message.c_str())
+  return {routing_wire::Body::WatchOpened,
+          routing_wire::CreateWatchOpenedDirect(
+              *builder, ToWire(message.outcome), message.target.c_str(),
+              message.message.c_str())
               .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const WatchEvent& message) {
   const auto watch_id = builder->CreateString(message.watch_id);
   const auto line = builder->CreateString(message.line);
-  return {wire::Body::WatchEvent,
-          wire::CreateWatchEvent(*builder, watch_id, message.position, line)
-              .Union()};
+  return {
+      routing_wire::Body::WatchEvent,
+      routing_wire::CreateWatchEvent(*builder, watch_id, message.position, line)
+          .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const WatchEnd& message) {
-  return {wire::Body::WatchEnd,
-          wire::CreateWatchEndDirect(*builder, message.watch_id.c_str(),
-                                     message.position, message.reason.c_str())
+  return {routing_wire::Body::WatchEnd,
+          routing_wire::CreateWatchEndDirect(*builder, message.watch_id.c_str(),
+                                             message.position,
+                                             message.reason.c_str())
               .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const WatchKeepAlive& message) {
-  return {wire::Body::WatchKeepAlive,
-          wire::CreateWatchKeepAliveDirect(*builder, message.watch_id.c_str())
+  return {routing_wire::Body::WatchKeepAlive,
+          routing_wire::CreateWatchKeepAliveDirect(*builder,
+                                                   message.watch_id.c_str())
               .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const RequestStateQuery& message) {
-  return {
-      wire::Body::RequestStateQuery,
-      wire::CreateRequestStateQueryDirect(*builder, message.request_id.c_str())
-          .Union()};
+  return {routing_wire::Body::RequestStateQuery,
+          routing_wire::CreateRequestStateQueryDirect(
+              *builder, message.request_id.c_str())
+              .Union()};
 }
 
 Encoded Encode(FlatBufferBuilder* builder, const RequestStateAnswer& message) {
   const auto record = builder->CreateString(message.record);
   return {
-      wire::Body::RequestStateAnswer,
-      wire::CreateRequestStateAnswer(*builder, message.found, record).Union()};
+      routing_wire::Body::RequestStateAnswer,
+      routing_wire::CreateRequestStateAnswer(*builder, message.found, record)
+          .Union()};
 }
 
-TargetSummary Decode(const wire::TargetSummary& message) {
+TargetSummary Decode(const routing_wire::TargetSummary& message) {
   TargetSummary summary{
       ToText(message.failure_domain()), ToText(message.region()), {}};
   if (message.services() == nullptr) {
     return summary;
   }
-  for (const wire::ServiceSummary* service : *message.services()) {
+  for (const routing_wire::ServiceSummary* service : *message.services()) {
     summary.services.push_back(
         {ToText(service->service()), service->targets(), service->free_slots(),
          service->free_connections(), service->latency_ms()});
@@ -142,7 +147,7 @@
   return summary;
 }
 
-ForwardedRequest Decode(const wire::ForwardedRequest& message) {
+ForwardedRequest Decode(const routing_wire::ForwardedRequest& message) {
   return {ToText(message.request_id()),
           ToText(message.service()),
           ToText(message.caller()),
@@ -152,41 +157,41 @@
           ToText(message.body())};
 }
 
-ForwardedAnswer Decode(const wire::ForwardedAnswer& message) {
+ForwardedAnswer Decode(const routing_wire::ForwardedAnswer& message) {
   return {FromWire(message.outcome()),    message.status(),
           ToText(message.content_type()), ToText(message.body()),
           ToText(message.target()),       ToText(message.message())};
 }
 
-WatchOpen Decode(const wire::WatchOpen& message) {
+WatchOpen Decode(const routing_wire::WatchOpen& message) {
   return {ToText(message.watch_id()), ToText(message.service()),
           ToText(message.caller()), ToText(message.last_event_id())};
 }
 
-WatchOpened Decode(const wire::WatchOpened& message) {
+WatchOpened Decode(const routing_wire::WatchOpened& message) {
   return {FromWire(message.outcome()), ToText(message.target()),
           ToText(message.message())};
 }
 
-WatchEvent Decode(const wire::WatchEvent& message) {
+WatchEvent Decode(const routing_wire::WatchEvent& message) {
   return {ToText(message.watch_id()), message.position(),
           ToText(message.line())};
 }
 
-WatchEnd Decode(const wire::WatchEnd& message) {
+WatchEnd Decode(const routing_wire::WatchEnd& message) {
   return {ToText(message.watch_id()), message.position(),
           ToText(message.reason())};
 }
 
-WatchKeepAlive Decode(const wire::WatchKeepAlive& message) {
+WatchKeepAlive Decode(const routing_wire::WatchKeepAlive& message) {
   return {ToText(message.watch_id())};
 }
 
-RequestStateQuery Decode(const wire::RequestStateQuery& message) {
+RequestStateQuery Decode(const routing_wire::RequestStateQuery& message) {
   return {ToText(message.request_id())};
 }
 
-RequestStateAnswer Decode(const wire::RequestStateAnswer& message) {
+RequestStateAnswer Decode(const routing_wire::RequestStateAnswer& message) {
   return {message.found(), ToText(message.record())};
 }
 
@@ -212,7 +217,8 @@
   FlatBufferBuilder builder;
   const Encoded encoded = std::visit(
       [&builder](const auto& body) { return Encode(&builder, body); }, message);
-  builder.Finish(wire::CreateMessage(builder, encoded.first, encoded.second));
+  builder.Finish(
+      routing_wire::CreateMessage(builder, encoded.first, encoded.second));
   const auto* data =
       reinterpret_cast<const std::byte*>(builder.GetBufferPointer());
   return {data, data + builder.GetSize()};
@@ -228,34 +234,34 @@
   }
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(data.data()),
                                  data.size());
-  if (!wire::VerifyMessageBuffer(verifier)) {
+  if (!routing_wire::VerifyMessageBuffer(verifier)) {
     return MakeError(ErrorKind::kDataLoss,
                      "the bytes are no valid routing message",
                      "run compatible versions on all instances");
   }
-  const wire::Message& message = *wire::GetMessage(data.data());
+  const routing_wire::Message& message = *routing_wire::GetMessage(data.data());
   switch (message.body_type()) {
-    case wire::Body::TargetSummary:
+    case routing_wire::Body::TargetSummary:
       return Decode(*message.body_as_TargetSummary());
-    case wire::Body::ForwardedRequest:
+    case routing_wire::Body::ForwardedRequest:
       return Decode(*message.body_as_ForwardedRequest());
-    case wire::Body::ForwardedAnswer:
+    case routing_wire::Body::ForwardedAnswer:
       return Decode(*message.body_as_ForwardedAnswer());
-    case wire::Body::WatchOpen:
+    case routing_wire::Body::WatchOpen:
       return Decode(*message.body_as_WatchOpen());
-    case wire::Body::WatchOpened:
+    case routing_wire::Body::WatchOpened:
       return Decode(*message.body_as_WatchOpened());
-    case wire::Body::WatchEvent:
+    case routing_wire::Body::WatchEvent:
       return Decode(*message.body_as_WatchEvent());
-    case wire::Body::WatchEnd:
+    case routing_wire::Body::WatchEnd:
       return Decode(*message.body_as_WatchEnd());
-    case wire::Body::WatchKeepAlive:
+    case routing_wire::Body::WatchKeepAlive:
       return Decode(*message.body_as_WatchKeepAlive());
-    case wire::Body::RequestStateQuery:
+    case routing_wire::Body::RequestStateQuery:
       return Decode(*message.body_as_RequestStateQuery());
-    case wire::Body::RequestStateAnswer:
+    case routing_wire::Body::RequestStateAnswer:
       return Decode(*message.body_as_RequestStateAnswer());
-    case wire::Body::NONE:
+    case routing_wire::Body::NONE:
       break;
   }
   return MakeError(ErrorKind::kDataLoss,
--- a/packages/state/cluster_state.h
+++ b/packages/state/cluster_state.h
@@ -28,7 +28,7 @@
 namespace bramleyrail {
 
 namespace codec {
-struct OwnerRecord;
+struct TaskOwnerRecord;
 }
 
 // Replicated facts about a worker beside its resource.
@@ -306,7 +306,7 @@
   void IndexClaim(const Claim& claim);
 
   // Returns false when the record contradicts the resources or workers.
-  bool RestoreOwner(codec::OwnerRecord& record);
+  bool RestoreOwner(codec::TaskOwnerRecord& record);
 
   void AssertTasksConsistent() const;
   void AssertWorkersConsistent() const;
--- a/packages/state/cluster_state_snapshot.cc
+++ b/packages/state/cluster_state_snapshot.cc
@@ -67,13 +67,13 @@
                                 worker.retired_boot_ids});
   }
   for (const auto& [uid, tasks] : owners_) {
-    codec::OwnerRecord record{tasks.owner,
-                              tasks.team,
-                              tasks.deleted,
-                              owners_to_reconcile_.contains(uid),
-                              tasks.counts.evictions,
-                              tasks.pending_reason,
-                              {}};
+    codec::TaskOwnerRecord record{tasks.owner,
+                                  tasks.team,
+                                  tasks.deleted,
+                                  owners_to_reconcile_.contains(uid),
+                                  tasks.counts.evictions,
+                                  tasks.pending_reason,
+                                  {}};
     record.tasks.reserve(tasks.tasks.size());
     for (const Task& task : tasks.tasks) {
       record.tasks.push_back(ToRecord(task));
@@ -125,7 +125,7 @@
     worker.probation_reason = std::move(record.probation_reason);
     worker.retired_boot_ids = std::move(record.retired_boot_ids);
   }
-  for (codec::OwnerRecord& record : snapshot.owners) {
+  for (codec::TaskOwnerRecord& record : snapshot.owners) {
     if (!state->RestoreOwner(record)) {
       return codec::DamagedError("a task of the snapshot");
     }
@@ -149,7 +149,7 @@
   return state;
 }
 
-bool ClusterState::RestoreOwner(codec::OwnerRecord& record) {
+bool ClusterState::RestoreOwner(codec::TaskOwnerRecord& record) {
   const std::string uid(record.owner.uid);
   const Resource* resource = FindResource(record.owner.kind, record.owner.name);
   const bool exists = resource != nullptr && resource->uid == uid &&
--- a/packages/state/snapshot_record.h
+++ b/packages/state/snapshot_record.h
@@ -30,7 +30,7 @@
   SharedText reason;
 };
 
-struct OwnerRecord {
+struct TaskOwnerRecord {
   TaskOwner owner;
   std::string team;
   bool deleted = false;
@@ -68,7 +68,7 @@
   int64_t revision = 0;
   std::vector<Resource> resources;
   std::vector<WorkerRecord> workers;
-  std::vector<OwnerRecord> owners;
+  std::vector<TaskOwnerRecord> owners;
   std::vector<Claim> claims;
   std::vector<InstanceRecord> instances;
   std::vector<ChangeRecord> changes;
@@ -79,7 +79,7 @@
                   v.failures, v.evictions, v.changed_unix_ms, v.worker,
                   v.reserved, v.checkpoint, v.reason);
 }
-auto Fields(Is<OwnerRecord> auto& v) {
+auto Fields(Is<TaskOwnerRecord> auto& v) {
   return std::tie(v.owner, v.team, v.deleted, v.to_reconcile, v.evictions,
                   v.pending_reason, v.tasks);
 }
--- a/packages/storage/posix_disk.h
+++ b/packages/storage/posix_disk.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "packages/storage/disk.h"
-#include "packages/storage/file_descriptor.h"
 
 namespace bramleyrail {
 
--- a/packages/storage/posix_disk_file.cc
+++ b/packages/storage/posix_disk_file.cc
@@ -26,7 +26,8 @@
 
 Result<void> PosixDiskFile::Append(std::span<const std::byte> data) {
   while (!data.empty()) {
-    const ssize_t written = write(descriptor_.get(), data.data(), data.size());
+    const ssize_t written =
+        write(descriptor_.number(), data.data(), data.size());
     if (written < 0 && errno == EINTR) {
       continue;
     }
@@ -39,7 +40,7 @@
 }
 
 Result<void> PosixDiskFile::Sync() {
-  if (fdatasync(descriptor_.get()) != 0) {
+  if (fdatasync(descriptor_.number()) != 0) {
     return MakePosixError("sync", path_);
   }
   return Success();
--- a/packages/storage/posix_disk_file.h
+++ b/packages/storage/posix_disk_file.h
@@ -6,7 +6,6 @@
 #include <string_view>
 
 #include "packages/storage/disk.h"
-#include "packages/storage/file_descriptor.h"
 
 namespace bramleyrail {
 
