Peer: Test links that fail, limits and late answers

A lost connection that a peer dialled now counts in connections_lost as well. EncodeFrame no longer passes a null pointer to memcpy for an empty body, which the undefined behaviour sanitizer reported in the test of empty frames.

--- a/packages/peer/frame_reader.cc
+++ b/packages/peer/frame_reader.cc
@@ -33,7 +33,7 @@
   std::vector<std::byte> frame(kFrameHeaderBytes + body.size());
   StoreLittleEndian(static_cast<uint32_t>(body.size()), frame.data());
   StoreLittleEndian(Crc32c(body), frame.data() + 4);
-  std::memcpy(frame.data() + kFrameHeaderBytes, body.data(), body.size());
+  std::copy(body.begin(), body.end(), frame.begin() + kFrameHeaderBytes);
   return frame;
 }
 
--- a/packages/peer/incoming_link.cc
+++ b/packages/peer/incoming_link.cc
@@ -128,7 +128,7 @@
   if (!handler) {
     slot->Answer(
         MakeError(ErrorKind::kUnavailable,
-                  absl::StrCat("the instance answers no calls on this channel"),
+                  "the instance answers no calls on this channel",
                   "check that both ends run the same version of bramleyrail"));
     return;
   }
@@ -148,6 +148,9 @@
   } else {
     LogEvent(kPeerAcceptedLost, {{"peer", name}, {"error", error.ToString()}});
   }
+  if (peer_ != nullptr) {
+    peer_->CountLostConnection();
+  }
   connection_.reset();
   outbox_->Close();
 }
--- a/packages/peer/peer_types.h
+++ b/packages/peer/peer_types.h
@@ -53,7 +53,7 @@
   uint64_t bytes_received = 0;  // Over both connections, frames included.
   uint64_t dropped_messages = 0;
   uint64_t late_answers = 0;
-  uint64_t connections_lost = 0;
+  uint64_t connections_lost = 0;  // In both directions.
 };
 
 // Answers a call, at most once, from any thread. An error travels with its
--- a/packages/peer/tests/peer_network_test.cc
+++ b/packages/peer/tests/peer_network_test.cc
@@ -1,11 +1,13 @@
-#include <array>
-#include <atomic>
+#include "packages/peer/peer_network.h"
+
 #include <string>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
+#include "packages/peer/fakes/call_log.h"
+#include "packages/peer/fakes/held_answers.h"
 #include "packages/peer/fakes/peer_pair.h"
-#include "packages/peer/peer.h"
+#include "packages/peer/peer_limits.h"
 
 // Redefines new, so it comes after every other header.
 #include "CppUTest/TestHarness.h"
@@ -14,88 +16,37 @@
 namespace {
 
 constexpr Milliseconds kLongTimeout{30'000};
+constexpr Milliseconds kShortTimeout{20};
+constexpr PeerChannel kChannel = PeerChannel::kRouting;
 
-std::vector<std::byte> Bytes(std::string_view text) {
-  const std::span<const std::byte> bytes = AsBytes(text);
-  return {bytes.begin(), bytes.end()};
+void CallBeta(PeerPair& pair,
+              const std::string& call,
+              Milliseconds timeout,
+              CallLog& log) {
+  pair.alpha().Call("beta", kChannel, AsBytes(call), timeout,
+                    log.Callback(call));
 }
 
-// Keeps the outcomes of calls, by the text of the call.
-class CallLog {
- public:
-  PeerCallCallback Callback(const std::string& call) {
-    return [this, call](Result<std::vector<std::byte>> answer) {
-      absl::MutexLock lock(&mutex_);
-      outcomes_.emplace_back(
-          call, answer.has_value()
-                    ? std::string(AsText(answer.value()))
-                    : std::string(ErrorKindName(answer.error().kind)));
-    };
-  }
-  // Of the calls that have ended, in that order.
-  std::vector<std::pair<std::string, std::string>> outcomes() {
-    absl::MutexLock lock(&mutex_);
-    return outcomes_;
-  }
-  std::string OutcomeOf(const std::string& call) {
-    for (const auto& [name, outcome] : outcomes()) {
-      if (name == call) {
-        return outcome;
-      }
-    }
-    return "";
-  }
-
- private:
-  absl::Mutex mutex_;
-  std::vector<std::pair<std::string, std::string>> outcomes_;
-};
-
-// Answers calls when the test says so.
-class HeldAnswers {
- public:
-  PeerCallHandler Handler() {
-    return [this](std::string_view, std::span<const std::byte> payload,
-                  PeerAnswer answer) {
-      absl::MutexLock lock(&mutex_);
-      held_.emplace_back(AsText(payload), std::move(answer));
-    };
-  }
-  size_t size() {
-    absl::MutexLock lock(&mutex_);
-    return held_.size();
-  }
-  void AnswerLast() {
-    absl::MutexLock lock(&mutex_);
-    held_.back().second(Bytes("answer to " + held_.back().first));
-    held_.pop_back();
-  }
-
- private:
-  absl::Mutex mutex_;
-  std::vector<std::pair<std::string, PeerAnswer>> held_;
-};
-
 TEST_GROUP(PeerNetwork){};
 
+// Guards against messages that reach the handler of another channel.
 TEST(PeerNetwork, MessageReachesTheHandlerOfItsChannel) {
   PeerPair pair;
   absl::Mutex mutex;
   std::string received;
   pair.beta().SetMessageHandler(
-      PeerChannel::kRouting,
-      [&](std::string_view peer, std::span<const std::byte> payload) {
+      kChannel, [&](std::string_view peer, std::span<const std::byte> payload) {
         absl::MutexLock lock(&mutex);
-        received = std::string(peer) + ": " + std::string(AsText(payload));
+        received += std::string(peer) + ": " + std::string(AsText(payload));
       });
   CHECK(pair.StartAndConnect());
   CHECK(pair.alpha().Send("beta", PeerChannel::kStatus, AsBytes("ignored")));
-  CHECK(pair.alpha().Send("beta", PeerChannel::kRouting, AsBytes("summary")));
+  CHECK(pair.alpha().Send("beta", kChannel, AsBytes("summary")));
   CHECK(WaitUntil([&] {
     absl::MutexLock lock(&mutex);
     return received == "alpha: summary";
   }));
-  CHECK(!pair.alpha().Send("gamma", PeerChannel::kRouting, AsBytes("x")));
+  CHECK(!pair.alpha().Send("gamma", kChannel, AsBytes("x")));
   CHECK(StatusOf(pair.alpha()).bytes_sent > 0);
   STRCMP_EQUAL("south-1", StatusOf(pair.alpha()).info.failure_domain.c_str());
 }
@@ -106,12 +57,10 @@
   PeerPair pair;
   HeldAnswers held;
   CallLog log;
-  pair.beta().SetCallHandler(PeerChannel::kRouting, held.Handler());
+  pair.beta().SetCallHandler(kChannel, held.Handler());
   CHECK(pair.StartAndConnect());
   for (size_t i = 0; i < kCalls; ++i) {
-    const std::string call = std::to_string(i);
-    pair.alpha().Call("beta", PeerChannel::kRouting, AsBytes(call),
-                      kLongTimeout, log.Callback(call));
+    CallBeta(pair, std::to_string(i), kLongTimeout, log);
   }
   CHECK(WaitUntil([&] { return held.size() == kCalls; }));
   for (size_t i = 0; i < kCalls; ++i) {
@@ -124,5 +73,119 @@
   }
 }
 
+// Guards against a late answer that ends another call or the connection.
+TEST(PeerNetwork, LateAnswerIsDroppedAndCounted) {
+  PeerPair pair;
+  HeldAnswers held;
+  CallLog log;
+  pair.beta().SetCallHandler(kChannel, held.Handler());
+  CHECK(pair.StartAndConnect());
+  CallBeta(pair, "late", kShortTimeout, log);
+  STRCMP_EQUAL("outcome_unknown", log.WaitFor("late").c_str());
+  held.AnswerLast();
+  CHECK(WaitUntil([&] { return StatusOf(pair.alpha()).late_answers == 1; }));
+  CallBeta(pair, "next", kLongTimeout, log);
+  held.AnswerLast();
+  STRCMP_EQUAL("answer to next", log.WaitFor("next").c_str());
+  LONGS_EQUAL(0, StatusOf(pair.alpha()).connections_lost);
+}
+
+// Guards against callers that wait for an answer that cannot come any more.
+TEST(PeerNetwork, DroppedAnswerFailsTheCallWithOutcomeUnknown) {
+  PeerPair pair;
+  HeldAnswers held;
+  CallLog log;
+  pair.beta().SetCallHandler(kChannel, held.Handler());
+  CHECK(pair.StartAndConnect());
+  CallBeta(pair, "dropped", kLongTimeout, log);
+  held.DropLast();
+  STRCMP_EQUAL("outcome_unknown", log.WaitFor("dropped").c_str());
+}
+
+// Guards against errors that lose their kind or remedy on the way.
+TEST(PeerNetwork, ErrorAnswerKeepsKindMessageAndRemedy) {
+  PeerPair pair;
+  pair.beta().SetCallHandler(
+      kChannel, [](std::string_view, std::span<const std::byte>,
+                   const PeerAnswer& answer) {
+        answer(MakeError(ErrorKind::kConflict, "taken", "take another"));
+      });
+  CHECK(pair.StartAndConnect());
+  absl::Mutex mutex;
+  std::string text;
+  pair.alpha().Call("beta", kChannel, {}, kLongTimeout,
+                    [&](const Result<std::vector<std::byte>>& answer) {
+                      absl::MutexLock lock(&mutex);
+                      text = answer.error().ToString();
+                    });
+  CHECK(WaitUntil([&] {
+    absl::MutexLock lock(&mutex);
+    return text == "conflict: taken (take another)";
+  }));
+}
+
+// Guards against the loss of whole frames at the limit of their size.
+TEST(PeerNetwork, PayloadOfTheLargestSizeTravelsBothWays) {
+  PeerPair pair;
+  pair.beta().SetCallHandler(
+      kChannel, [](std::string_view, std::span<const std::byte> payload,
+                   const PeerAnswer& answer) {
+        answer(std::vector<std::byte>(payload.begin(), payload.end()));
+      });
+  CHECK(pair.StartAndConnect());
+  CallLog log;
+  const std::string largest(kMaximumPayloadBytes, 'x');
+  CallBeta(pair, largest, kLongTimeout, log);
+  CHECK(log.WaitFor(largest) == largest);
+  CallBeta(pair, largest + "x", kLongTimeout, log);
+  STRCMP_EQUAL("unavailable", log.WaitFor(largest + "x").c_str());
+}
+
+// Guards against errors that claim less or more than is known about the call.
+TEST(PeerNetwork, CallsThatWereNotSentAreUnavailable) {
+  PeerPair pair;
+  CallLog log;
+  CHECK(pair.alpha().Start().has_value());
+  CallBeta(pair, "not connected", kLongTimeout, log);
+  STRCMP_EQUAL("unavailable", log.WaitFor("not connected").c_str());
+  CHECK(!pair.alpha().Send("beta", kChannel, AsBytes("x")));
+  CHECK(pair.beta().Start().has_value());
+  CHECK(WaitUntil([&] { return StatusOf(pair.alpha()).connected; }));
+  CallBeta(pair, "no handler", kLongTimeout, log);
+  STRCMP_EQUAL("unavailable", log.WaitFor("no handler").c_str());
+  pair.alpha().Stop();
+  CallBeta(pair, "stopped", kLongTimeout, log);
+  STRCMP_EQUAL("unavailable", log.WaitFor("stopped").c_str());
+}
+
+// Guards against callers that wait for ever when the instance stops.
+TEST(PeerNetwork, StopFailsCallsInProgress) {
+  PeerPair pair;
+  HeldAnswers held;
+  CallLog log;
+  pair.beta().SetCallHandler(kChannel, held.Handler());
+  CHECK(pair.StartAndConnect());
+  CallBeta(pair, "in progress", kLongTimeout, log);
+  CHECK(WaitUntil([&] { return held.size() == 1; }));
+  pair.alpha().Stop();
+  STRCMP_EQUAL("outcome_unknown", log.WaitFor("in progress").c_str());
+}
+
+// Guards against settings that only fail when the first peer is dialled.
+TEST(PeerNetwork, FaultyOptionsAreRefusedWithEveryFault) {
+  PeerNetwork::Options options;
+  options.self = {"alpha", "south-1", "south"};
+  options.listen_address = {"localhost", 0};
+  options.peers = {{"alpha", {"127.0.0.1", 0}}};
+  const auto network = PeerNetwork::Create(options);
+  CHECK(network.has_error());
+  std::string paths;
+  for (const FieldFault& fault : network.error().faults) {
+    paths += fault.path + " ";
+  }
+  STRCMP_EQUAL("cluster_id listen_address peers[0].address peers[0].name ",
+               paths.c_str());
+}
+
 }  // namespace
 }  // namespace bramleyrail
