--- a/packages/caller/owner_runner.cc
+++ b/packages/caller/owner_runner.cc
@@ -61,7 +61,7 @@
 
   ForwardedAnswer answer = options_.client->Send(std::move(*charge), request);
 
-  options_.on_capacity();
+  options_.on_capacity(session->FreeSlots() == 1);
   const auto latency = std::chrono::round<Milliseconds>(
       std::chrono::steady_clock::now() - start);
   RecordOutcome(session.get(), answer, latency);
--- a/packages/caller/owner_runner.h
+++ b/packages/caller/owner_runner.h
@@ -16,8 +16,9 @@
     RoutingTable* table = nullptr;
     RequestTable* requests = nullptr;
     TargetClient* client = nullptr;
-    // Called when capacity has become free.
-    std::function<void()> on_capacity = [] {};
+    // Called when capacity has become free; `was_full` when the target had
+    // none before.
+    std::function<void(bool was_full)> on_capacity = [](bool) {};
   };
 
   explicit OwnerRunner(Options options) : options_(std::move(options)) {}
--- a/packages/caller/request_dispatcher.cc
+++ b/packages/caller/request_dispatcher.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kLongestClaimWait{4'000};
 constexpr Milliseconds kFirstBackoff{10};
 constexpr Milliseconds kLongestBackoff{500};
+// How often a waiting request looks whether the instance stops.
+constexpr Milliseconds kAbortInterval{200};
 // The owner stops at the deadline; its answer needs time to arrive.
 constexpr Milliseconds kAnswerGrace{250};
 
@@ -308,8 +310,11 @@
                       [pending](Result<std::vector<std::byte>> result) {
                         pending->Set(std::move(result));
                       });
-  const std::optional<Result<std::vector<std::byte>>> result =
-      pending->Wait(request.remaining + 2 * kAnswerGrace);
+  const MonotonicTime give_up = Now() + request.remaining + 2 * kAnswerGrace;
+  std::optional<Result<std::vector<std::byte>>> result;
+  while (!result.has_value() && Now() < give_up && !aborted_.load()) {
+    result = pending->Wait(std::min(Until(give_up), kAbortInterval));
+  }
   ForwardedAnswer failure;
   failure.outcome = RequestOutcome::kOutcomeUnknown;
   if (!result.has_value()) {
--- a/packages/caller/request_dispatcher.h
+++ b/packages/caller/request_dispatcher.h
@@ -49,6 +49,8 @@
 
   // From now on, requests are refused as not run.
   void RefuseNew() { refusing_.store(true); }
+  // Gives up the requests that wait for other instances.
+  void Abort() { aborted_.store(true); }
   int64_t InProgress() const { return in_progress_.load(); }
   const Counters& counters() const { return counters_; }
 
@@ -92,6 +94,7 @@
   ConcurrencyLimits limits_;
   Counters counters_;
   std::atomic<bool> refusing_{false};
+  std::atomic<bool> aborted_{false};
   std::atomic<int64_t> in_progress_{0};
 };
 
--- a/packages/caller/request_plane.cc
+++ b/packages/caller/request_plane.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Milliseconds kMaintenanceInterval{200};
+// A target at its limit frees capacity with each answer; the summaries between
+// instances are not to follow each one.
+constexpr Milliseconds kSummarySpacing{10};
 constexpr size_t kMessageQueue = 4096;
 constexpr size_t kForwardQueue = 64;
 constexpr size_t kQueryThreads = 4;
@@ -67,7 +70,11 @@
       runner_({.table = &table_,
                .requests = &requests_,
                .client = &client_,
-               .on_capacity = [this] { queue_.Notify(); }}),
+               .on_capacity =
+                   [this](bool was_full) {
+                     // Other instances wait for the next summary.
+                     was_full ? NoteChange() : queue_.Notify();
+                   }}),
       dispatcher_({.instance = options_.instance,
                    .seed = options_.seed,
                    .table = &table_,
@@ -77,6 +84,12 @@
                    .catalog = &catalog_,
                    .queue = &queue_,
                    .peers = options_.peers}),
+      lookup_({.instance = options_.instance,
+               .requests = &requests_,
+               .state = options_.state,
+               .peers = options_.peers,
+               .clock = options_.clock}),
+      watch_relay_({.table = &table_, .client = &client_, .runner = &runner_}),
       target_server_({.instance = options_.instance,
                       .failure_domain = options_.failure_domain,
                       .address = options_.targets.address,
@@ -92,6 +105,13 @@
            .dispatcher = &dispatcher_,
            .request_state =
                [this](const std::string& id) { return RequestStateJson(id); }}),
+      watch_server_({.instance = options_.instance,
+                     .address = options_.watches.address,
+                     .port = options_.watches.port,
+                     .maximum_threads = options_.watch_threads,
+                     .table = &table_,
+                     .relay = &watch_relay_,
+                     .peers = options_.peers}),
       message_pool_({1, kMessageQueue}),
       forward_pool_({options_.forward_threads, kForwardQueue}),
       query_pool_({kQueryThreads, kQueryQueue}) {}
@@ -104,12 +124,15 @@
   catalog_.Refresh(options_.state);
   TRY(target_server_.Start());
   TRY(caller_server_.Start());
+  TRY(watch_server_.Start());
   maintenance_thread_ = std::thread([this] { RunMaintenance(); });
   return Success();
 }
 
 void RequestPlane::BeginDrain() {
   target_server_.BeginDrain();
+  watch_server_.BeginDrain();
+  watch_relay_.BeginDrain();
 }
 
 bool RequestPlane::WaitForIdle(MonotonicTime deadline) {
@@ -125,8 +148,14 @@
 }
 
 void RequestPlane::Stop(MonotonicTime deadline) {
-  WaitForIdle(deadline);
+  BeginDrain();
+  if (!WaitForIdle(deadline)) {
+    dispatcher_.Abort();
+    client_.Abort();
+  }
   caller_server_.Stop();
+  watch_server_.Stop();
+  watch_relay_.Stop();
   {
     absl::MutexLock lock(&maintenance_mutex_);
     stopping_ = true;
@@ -168,6 +197,7 @@
       due = std::chrono::steady_clock::now() + kMaintenanceInterval;
     }
     SendSummary();
+    std::this_thread::sleep_for(kSummarySpacing);
   }
 }
 
@@ -178,6 +208,11 @@
                               {"session", session->session()}});
   }
   catalog_.Refresh(options_.state);
+  options_.state.read([this](const ClusterState& state) {
+    table_.UpdateDrained([&state](std::string_view target) {
+      return state.IsTargetDrained(target);
+    });
+  });
   claims_.RetryDue();
   client_.RemoveOldConnections();
   queue_.Notify();
@@ -214,51 +249,112 @@
   if (const auto* summary = std::get_if<TargetSummary>(&message)) {
     table_.UpdateOwner(peer, *summary);
     queue_.Notify();
+  } else if (const auto* event = std::get_if<WatchEvent>(&message)) {
+    watch_server_.HandleEvent(*event);
+  } else if (const auto* alive = std::get_if<WatchKeepAlive>(&message)) {
+    watch_relay_.KeepAlive(alive->watch_id);
+  } else if (const auto* end = std::get_if<WatchEnd>(&message)) {
+    // Sent by the owner to the entry instance, or the other way round.
+    watch_server_.HandleEnd(*end);
+    watch_relay_.Cancel(end->watch_id);
   }
 }
 
 void RequestPlane::HandlePeerCall(std::string_view peer,
                                   std::span<const std::byte> payload,
                                   PeerAnswerCallback answer) {
-  const bool taken = forward_pool_.TrySubmit(
-      [this, peer = std::string(peer),
-       bytes = std::vector<std::byte>(payload.begin(), payload.end()), answer] {
-        const Result<RoutingMessage> message = DecodeRoutingMessage(bytes);
-        if (!message.has_value()) {
-          answer(message.error());
-          return;
-        }
-        if (const auto* request =
-                std::get_if<ForwardedRequest>(&message.value())) {
-          answer(RunForwarded(peer, *request));
-        }
+  Result<RoutingMessage> decoded = DecodeRoutingMessage(payload);
+  if (!decoded.has_value()) {
+    answer(decoded.error());
+    return;
+  }
+  auto message =
+      std::make_shared<const RoutingMessage>(std::move(decoded).value());
+  // Forwarded requests hold their threads for long; questions must not wait
+  // for them.
+  BoundedThreadPool& pool = std::holds_alternative<ForwardedRequest>(*message)
+                                ? forward_pool_
+                                : query_pool_;
+  const bool taken =
+      pool.TrySubmit([this, peer = std::string(peer), message, answer] {
+        HandleCall(peer, *message, answer);
       });
   if (!taken) {
     answer(PoolFullError());
   }
 }
 
-std::vector<std::byte> RequestPlane::RunForwarded(
-    const std::string& peer,
-    const ForwardedRequest& request) {
-  forwarded_in_progress_.fetch_add(1);
-  std::vector<std::byte> bytes =
-      EncodeRoutingMessage(runner_.Run(request, peer));
-  forwarded_in_progress_.fetch_sub(1);
-  return bytes;
+void RequestPlane::HandleCall(const std::string& peer,
+                              const RoutingMessage& message,
+                              const PeerAnswerCallback& answer) {
+  if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
+    forwarded_in_progress_.fetch_add(1);
+    answer(EncodeRoutingMessage(runner_.Run(*request, peer)));
+    forwarded_in_progress_.fetch_sub(1);
+  } else if (const auto* query = std::get_if<RequestStateQuery>(&message)) {
+    answer(EncodeRoutingMessage(lookup_.OwnRecords(query->request_id)));
+  } else if (const auto* watch = std::get_if<WatchOpen>(&message)) {
+    OpenWatchFor(peer, *watch, answer);
+  } else {
+    answer(MakeError(ErrorKind::kInvalidArgument,
+                     "this routing message is no call",
+                     "run compatible versions on all instances"));
+  }
+}
+
+void RequestPlane::OpenWatchFor(const std::string& peer,
+                                const WatchOpen& watch,
+                                const PeerAnswerCallback& answer) {
+  const auto send = [this, peer](const RoutingMessage& message) {
+    return options_.peers.send(peer, EncodeRoutingMessage(message));
+  };
+  watch_relay_.Open(
+      watch,
+      {[answer](const WatchOpened& opened) {
+         answer(EncodeRoutingMessage(opened));
+       },
+       [send, id = watch.watch_id](int64_t position, std::string line) {
+         return send(WatchEvent{id, position, std::move(line)});
+       },
+       [send, id = watch.watch_id](int64_t position, std::string reason) {
+         send(WatchEnd{id, position, std::move(reason)});
+       }});
 }
 
 Result<Json> RequestPlane::RequestStateJson(const std::string& request_id) {
-  const std::optional<RequestRecord> record = requests_.Find(request_id);
-  if (!record.has_value()) {
-    return MakeError(ErrorKind::kNotFound, "no such request is known",
-                     "check the request id");
-  }
-  return record->ToJson();
+  return lookup_.Find(request_id);
 }
 
 Result<Json> RequestPlane::ExplainJson(const std::string& request_id) {
-  return RequestStateJson(request_id);
+  TRY(state, lookup_.Find(request_id));
+  const Json& records = state.at("records");
+  Json targets = Json::array();
+  if (!records.empty()) {
+    targets = TargetsJson(records.front().at("service"));
+  }
+  return Json{{"request", std::move(state)}, {"targets", std::move(targets)}};
+}
+
+Json RequestPlane::TargetsJson(const std::string& service) {
+  const MonotonicTime now = options_.clock();
+  Json targets = Json::array();
+  for (const std::shared_ptr<TargetSession>& session : table_.Sessions()) {
+    if (session->service() != service) {
+      continue;
+    }
+    targets.push_back(
+        {{"target", session->name()},
+         {"session", session->session()},
+         {"slots", session->slots()},
+         {"slots_in_use", session->slots_in_use()},
+         {"connections", session->connections()},
+         {"connections_in_use", session->connections_in_use()},
+         {"may_send", session->MaySend(now)},
+         {"drained", session->drained()},
+         {"ejected", session->health().IsEjected(now)},
+         {"latency_ms", session->health().LatencyMilliseconds()}});
+  }
+  return targets;
 }
 
 std::vector<std::pair<std::string, int64_t>> RequestPlane::Counters() const {
@@ -272,8 +368,12 @@
           {"requests_forwarded", counters.forwarded.load()},
           {"requests_in_progress", dispatcher_.InProgress()},
           {"requests_waiting", static_cast<int64_t>(queue_.Waiting())},
+          {"watches_active", static_cast<int64_t>(watch_server_.Active())},
+          {"watches_relayed", static_cast<int64_t>(watch_relay_.Active())},
           {"claims_unresolved", static_cast<int64_t>(claims_.Unresolved())},
           {"caller_server_refusals", caller_server_.refusals()},
+          {"watch_server_refusals", watch_server_.refusals()},
+          {"target_server_refusals", target_server_.refusals()},
           {"routing_messages_dropped", dropped_messages_.load()}};
 }
 
--- a/packages/caller/request_plane.h
+++ b/packages/caller/request_plane.h
@@ -14,6 +14,9 @@
 #include "packages/caller/caller_server.h"
 #include "packages/caller/peer_hooks.h"
 #include "packages/caller/request_dispatcher.h"
+#include "packages/caller/request_state_lookup.h"
+#include "packages/caller/watch_relay.h"
+#include "packages/caller/watch_server.h"
 #include "packages/state/state.h"
 #include "packages/target/target.h"
 
@@ -65,7 +68,8 @@
   // be resolved; false when some are left at the deadline.
   bool WaitForIdle(MonotonicTime deadline);
 
-  // WaitForIdle(), then stops all servers and threads.
+  // WaitForIdle(), then breaks off what is left and stops all servers and
+  // threads.
   void Stop(MonotonicTime deadline);
 
   // Routing channel. Neither blocks the calling thread.
@@ -85,6 +89,7 @@
   std::vector<std::pair<std::string, int64_t>> Counters() const;
 
   int caller_port() const { return caller_server_.port(); }
+  int watch_port() const { return watch_server_.port(); }
   int target_port() const { return target_server_.port(); }
 
   RoutingTable& table() { return table_; }
@@ -99,8 +104,13 @@
   void NoteChange();
 
   void HandleMessage(const std::string& peer, const RoutingMessage& message);
-  std::vector<std::byte> RunForwarded(const std::string& peer,
-                                      const ForwardedRequest& request);
+  void HandleCall(const std::string& peer,
+                  const RoutingMessage& message,
+                  const PeerAnswerCallback& answer);
+  void OpenWatchFor(const std::string& peer,
+                    const WatchOpen& watch,
+                    const PeerAnswerCallback& answer);
+  Json TargetsJson(const std::string& service);
 
   const Options options_;
   RoutingTable table_;
@@ -111,8 +121,11 @@
   ClaimKeeper claims_;
   OwnerRunner runner_;
   RequestDispatcher dispatcher_;
+  RequestStateLookup lookup_;
+  WatchRelay watch_relay_;
   TargetServer target_server_;
   CallerServer caller_server_;
+  WatchServer watch_server_;
 
   // One thread, so that the messages of a peer keep their order.
   BoundedThreadPool message_pool_;
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -7,6 +7,7 @@
 
 #include "packages/routing/capacity_charge.h"
 #include "packages/routing/concurrency_limits.h"
+#include "packages/routing/monotonic_nanoseconds.h"
 #include "packages/routing/request_table.h"
 #include "packages/routing/retry_budget.h"
 #include "packages/routing/routing_events.h"
--- a/packages/routing/selection.cc
+++ b/packages/routing/selection.cc
@@ -48,21 +48,23 @@
   return share < 1.0 && random->Fraction() >= share;
 }
 
-size_t Better(Targets targets,
-              size_t first,
-              size_t second,
-              const TargetQuery& query,
-              RandomSource* random) {
-  if (first == second || PassOver(*targets[second], query.now, random)) {
-    return first;
+// Replaces a returning target by the next one that does not return, in
+// proportion to the share that it does not take yet.
+size_t ReplaceReturning(Targets targets,
+                        size_t index,
+                        const TargetQuery& query,
+                        RandomSource* random) {
+  if (!PassOver(*targets[index], query.now, random)) {
+    return index;
   }
-  if (PassOver(*targets[first], query.now, random)) {
-    return second;
+  for (size_t step = 1; step < targets.size(); ++step) {
+    const size_t other = (index + step) % targets.size();
+    if (IsUsable(*targets[other], query) &&
+        targets[other]->health().Share(query.now) >= 1.0) {
+      return other;
+    }
   }
-  return Score(*targets[second], query.kind) <
-                 Score(*targets[first], query.kind)
-             ? second
-             : first;
+  return index;
 }
 
 // Indices of the owners of the nearest class with capacity; with kInTime, only
@@ -126,7 +128,12 @@
       return std::nullopt;
     }
     const std::optional<size_t> second = ProbeUsable(targets, query, random);
-    return Better(targets, *first, second.value_or(*first), query, random);
+    const size_t one = ReplaceReturning(targets, *first, query, random);
+    const size_t other =
+        ReplaceReturning(targets, second.value_or(*first), query, random);
+    return Score(*targets[other], query.kind) < Score(*targets[one], query.kind)
+               ? other
+               : one;
   };
 }
 
--- /dev/null
+++ b/packages/target/fakes/raw_target.h
@@ -0,0 +1,39 @@
+#ifndef PACKAGES_TARGET_FAKES_RAW_TARGET_H_
+#define PACKAGES_TARGET_FAKES_RAW_TARGET_H_
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+// A server that reads one request on each connection, one at a time, and
+// writes fixed bytes: answers that no HTTP server would give.
+class RawTarget {
+ public:
+  explicit RawTarget(std::string answer);
+  ~RawTarget();
+  RawTarget(const RawTarget&) = delete;
+  RawTarget& operator=(const RawTarget&) = delete;
+
+  int port() const { return port_; }
+  int connections() const { return connections_.load(); }
+  size_t bytes_received() const { return bytes_received_.load(); }
+
+ private:
+  void Run();
+  void Serve(int socket);
+
+  const std::string answer_;
+  int listener_ = -1;
+  int port_ = 0;
+  std::atomic<int> connections_{0};
+  std::atomic<size_t> bytes_received_{0};
+  std::thread thread_;
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_TARGET_FAKES_RAW_TARGET_H_
--- a/packages/target/socket_stream.cc
+++ b/packages/target/socket_stream.cc
@@ -18,8 +18,10 @@
 
 namespace {
 
-// How often a blocked read looks at its cancellation hook.
-constexpr Milliseconds kPollInterval{20};
+// How often a blocked read or write looks at its cancellation hook.
+constexpr Milliseconds kCancellationInterval{200};
+// How often an idle connection looks whether its thread is wanted elsewhere.
+constexpr Milliseconds kIdleInterval{20};
 // Unacknowledged data or keep-alive probes for this long mean a silent link.
 constexpr int kSilentLinkMs = 3'000;
 constexpr int kKeepAliveIdleSeconds = 1;
@@ -162,7 +164,7 @@
     }
     Milliseconds wait = Remaining(until);
     if (cancelled_) {
-      wait = std::min(wait, kPollInterval);
+      wait = std::min(wait, kCancellationInterval);
     }
     pollfd event{socket_, events, 0};
     const int ready = ::poll(&event, 1, static_cast<int>(wait.count()));
@@ -186,7 +188,7 @@
   }
   const MonotonicTime until = std::chrono::steady_clock::now() + timeout;
   while (true) {
-    const Milliseconds wait = std::min(Remaining(until), kPollInterval);
+    const Milliseconds wait = std::min(Remaining(until), kIdleInterval);
     pollfd event{socket_, POLLIN, 0};
     const int ready = ::poll(&event, 1, static_cast<int>(wait.count()));
     if (ready > 0) {
--- a/packages/target/socket_stream.h
+++ b/packages/target/socket_stream.h
@@ -32,7 +32,7 @@
   // `deadline`.
   void SetLimits(Milliseconds silence, MonotonicTime deadline);
 
-  // Polled while reading; when it returns true, the read fails.
+  // Polled while waiting; when it returns true, the read or write fails.
   void SetCancelled(std::function<bool()> cancelled);
 
   // Waits for data; false on timeout, when the peer has closed, or when
--- a/packages/target/target_client.cc
+++ b/packages/target/target_client.cc
@@ -147,6 +147,7 @@
                       "the deadline passed before sending");
   }
   connection->stream().SetLimits(remaining, deadline);
+  connection->stream().SetCancelled([this] { return aborted_.load(); });
 
   httplib::Request http = BuildRequest(session, request, remaining);
   httplib::Response response;
--- a/packages/target/target_client.h
+++ b/packages/target/target_client.h
@@ -1,6 +1,7 @@
 #ifndef PACKAGES_TARGET_TARGET_CLIENT_H_
 #define PACKAGES_TARGET_TARGET_CLIENT_H_
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,9 @@
                         const WatchOpen& watch,
                         const WatchHooks& hooks);
 
+  // Breaks off all requests in progress; their outcome is then unknown.
+  void Abort() { aborted_.store(true); }
+
   // Closes idle connections that have become old. To be called every second.
   void RemoveOldConnections() { pool_.RemoveOld(); }
 
@@ -54,6 +58,7 @@
   Connect(const TargetSession& session, bool use_pool, MonotonicTime deadline);
 
   const Options options_;
+  std::atomic<bool> aborted_{false};
   ConnectionPool pool_;
 };
 
