--- a/packages/caller/capacity_queue.cc
+++ b/packages/caller/capacity_queue.cc
@@ -72,7 +72,8 @@
     const auto remaining =
         absl::FromChrono(until - std::chrono::steady_clock::now());
     const bool timed_out = changed_.WaitWithTimeout(
-        &queue_->mutex_, std::min(remaining, kLookInterval));
+        &queue_->mutex_,
+        first ? std::min(remaining, kLookInterval) : remaining);
     if (timed_out) {
       attempted_version_ = 0;
     }
--- a/packages/caller/fakes/test_cluster.cc
+++ b/packages/caller/fakes/test_cluster.cc
@@ -118,7 +118,9 @@
     }
     find(peer)->HandlePeerCall(
         own, bytes, [this, callback](Result<std::vector<std::byte>> answer) {
-          if (link_.load() == Link::kLoseAnswers) {
+          Link expected = Link::kLoseOneAnswer;
+          if (link_.compare_exchange_strong(expected, Link::kDown) ||
+              expected == Link::kLoseAnswers) {
             answer = MakeError(ErrorKind::kOutcomeUnknown, "answer lost", "");
           }
           callback(std::move(answer));
--- a/packages/caller/fakes/test_cluster.h
+++ b/packages/caller/fakes/test_cluster.h
@@ -20,8 +20,9 @@
  public:
   enum class Link {
     kUp,
-    kDown,         // Nothing is sent.
-    kLoseAnswers,  // Calls run, but their answers are lost.
+    kDown,           // Nothing is sent.
+    kLoseAnswers,    // Calls run, but their answers are lost.
+    kLoseOneAnswer,  // The next answer is lost, and the link goes down.
   };
 
   explicit TestCluster(size_t instances);
--- a/packages/caller/request_dispatcher.cc
+++ b/packages/caller/request_dispatcher.cc
@@ -15,6 +15,8 @@
 constexpr RequestRole kEntry = RequestRole::kEntry;
 // A request waits for capacity for at most this part of its deadline.
 constexpr int kWaitDivisor = 4;
+// Another request was faster; the next choice sees its use of the capacity.
+constexpr Milliseconds kFullOwnerDelay{1};
 // A commit takes at most about 120 ms plus one election of 2 s.
 constexpr Milliseconds kLongestClaimWait{4'000};
 constexpr Milliseconds kFirstBackoff{10};
@@ -219,6 +221,7 @@
       case RequestOutcome::kNoCapacity:
         // Bounded: each owner counts as full until its next summary.
         options_.table->MarkOwnerFull(request.service, owner.value().instance);
+        std::this_thread::sleep_for(kFullOwnerDelay);
         continue;
       case RequestOutcome::kOutcomeUnknown:
         attempts->may_have_run = true;
--- a/packages/caller/tests/request_path_test.cc
+++ b/packages/caller/tests/request_path_test.cc
@@ -121,6 +121,37 @@
   LONGS_EQUAL(4, total_executions(*target));
 }
 
+// Guards against "not run" from a last attempt that was not sent, when an
+// earlier one may have run.
+TEST(RequestPath, ARefusedRetryDoesNotMakeARequestNotRun) {
+  TestCluster cluster(2);
+  StandInTarget* target = cluster.AddTarget({}, {0});
+  cluster.SetLink(TestCluster::Link::kLoseOneAnswer);
+  const TestCluster::Answer lost = cluster.Send(1, "echo", "{}", kIdempotent);
+  LONGS_EQUAL(504, lost.status);
+  CHECK(!lost.not_run());
+  LONGS_EQUAL(1, total_executions(*target));
+}
+
+// Guards against the late answer of a request that reaches the next request on
+// the same connection.
+TEST(RequestPath, ALateAnswerDoesNotReachTheNextRequest) {
+  TestCluster cluster(1);
+  cluster.AddTarget({}, {0});
+  cluster.Send(0, "echo", R"({"x":"first"})", kIdempotent);
+  LONGS_EQUAL(504,
+              cluster
+                  .Send(0, "echo", R"({"sleep_ms":200,"x":"late"})",
+                        {{kIdempotentHeader, "true"}, {kTimeoutHeader, "50"}})
+                  .status);
+  for (int i = 0; i < 20; ++i) {
+    const Json body = {{"sleep_ms", 20}, {"x", i}};
+    const TestCluster::Answer answer =
+        cluster.Send(0, "echo", body.dump(), kIdempotent);
+    STRCMP_EQUAL(Json({{"x", i}}).dump().c_str(), answer.body.c_str());
+  }
+}
+
 // Guards against a send before the claim is known to be won.
 TEST(RequestPath, WithoutAConfirmedClaimNothingIsRun) {
   TestCluster cluster(1);
--- a/packages/caller/watch_relay.cc
+++ b/packages/caller/watch_relay.cc
@@ -110,6 +110,9 @@
     sink.opened(Refused(answer.outcome, answer.message));
     return;
   }
+  if (session->closed()) {
+    reason = "the target moves or leaves";
+  }
   if (draining_.load()) {
     reason = "the owner is about to stop";
   }
--- a/packages/routing/routing_table.cc
+++ b/packages/routing/routing_table.cc
@@ -11,6 +11,9 @@
 
 // Attempts to take capacity that other threads take at the same time.
 constexpr int kAcquireAttempts = 4;
+// Looking at every target for every request would cost 17 us with 2,100 of
+// them; the policy needs only an estimate.
+constexpr size_t kSampledTargets = 16;
 constexpr size_t kMaximumRememberedSessions = 65'536;
 
 template <typename Map>
@@ -201,10 +204,32 @@
 OwnerCandidate RoutingTable::OwnCandidate(const ServiceEntry& entry,
                                           WorkKind kind,
                                           MonotonicTime now) const {
+  return Estimate(entry.targets, entry.targets.size(), kind, now);
+}
+
+OwnerCandidate RoutingTable::SampledOwnCandidate(const ServiceEntry& entry,
+                                                 WorkKind kind,
+                                                 MonotonicTime now) {
+  const std::span<const std::shared_ptr<TargetSession>> targets(entry.targets);
+  if (targets.size() <= kSampledTargets) {
+    return OwnCandidate(entry, kind, now);
+  }
+  const size_t first = random_.Index(targets.size() - kSampledTargets + 1);
+  OwnerCandidate own = Estimate(targets.subspan(first, kSampledTargets),
+                                targets.size(), kind, now);
+  // Only a full scan can tell that there is no capacity at all.
+  return own.free > 0 ? own : OwnCandidate(entry, kind, now);
+}
+
+OwnerCandidate RoutingTable::Estimate(
+    std::span<const std::shared_ptr<TargetSession>> sample,
+    size_t total,
+    WorkKind kind,
+    MonotonicTime now) const {
   OwnerCandidate own{options_.instance, OwnerDistance::kOwnInstance, 0, 1};
   double latency = 0;
   int64_t usable = 0;
-  for (const std::shared_ptr<TargetSession>& target : entry.targets) {
+  for (const std::shared_ptr<TargetSession>& target : sample) {
     if (!IsUsable(*target, {kind, now})) {
       continue;
     }
@@ -215,6 +240,8 @@
   }
   if (usable > 0) {
     own.latency_ms = latency / static_cast<double>(usable);
+    own.free = own.free * static_cast<int64_t>(total) /
+               static_cast<int64_t>(sample.size());
   }
   return own;
 }
@@ -238,7 +265,7 @@
   std::vector<OwnerCandidate> candidates;
   std::vector<OwnerRecord*> records;
   if (!entry->second.targets.empty() && !is_excluded(options_.instance)) {
-    candidates.push_back(OwnCandidate(entry->second, kind, now));
+    candidates.push_back(SampledOwnCandidate(entry->second, kind, now));
     records.push_back(nullptr);
   }
   for (const std::shared_ptr<OwnerRecord>& owner : entry->second.owners) {
--- a/packages/routing/routing_table.h
+++ b/packages/routing/routing_table.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -96,9 +97,18 @@
   // True when half of the service's targets are ejected already.
   bool IsEjectionLimitReached(std::string_view service, MonotonicTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The instance itself as an owner: exact, or estimated from some targets.
   OwnerCandidate OwnCandidate(const ServiceEntry& entry,
                               WorkKind kind,
                               MonotonicTime now) const;
+  OwnerCandidate SampledOwnCandidate(const ServiceEntry& entry,
+                                     WorkKind kind,
+                                     MonotonicTime now);
+  OwnerCandidate Estimate(
+      std::span<const std::shared_ptr<TargetSession>> sample,
+      size_t total,
+      WorkKind kind,
+      MonotonicTime now) const;
 
   const Options options_;
   RandomSource random_;
--- a/packages/target/target_server.cc
+++ b/packages/target/target_server.cc
@@ -1,5 +1,7 @@
 #include "packages/target/target_server.h"
 
+#include <arpa/inet.h>
+
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -50,6 +52,12 @@
   return reader->Integer(field, Presence::kRequired, {1, maximum}).value_or(0);
 }
 
+bool IsNumericAddress(const std::string& host) {
+  in6_addr address{};
+  return ::inet_pton(AF_INET, host.c_str(), &address) == 1 ||
+         ::inet_pton(AF_INET6, host.c_str(), &address) == 1;
+}
+
 Json SessionJson(const std::string& instance, int64_t session) {
   return {{"instance", instance},
           {"session", session},
@@ -114,6 +122,9 @@
   if (!ValidateName(announcement.service).has_value()) {
     faults.push_back({"service", "must be a valid service name"});
   }
+  if (!IsNumericAddress(announcement.host)) {
+    faults.push_back({"host", "must be a numeric IPv4 or IPv6 address"});
+  }
   if (failure_domain != options_.failure_domain) {
     faults.push_back(
         {"failure_domain",
--- a/packages/target/tests/target_server_test.cc
+++ b/packages/target/tests/target_server_test.cc
@@ -64,7 +64,8 @@
   body["slots"] = 0;
   body["colour"] = "red";
   body["failure_domain"] = "fd2";
-  LONGS_EQUAL(3, Post("announce", body, 400)["faults"].size());
+  body["host"] = "target.example";
+  LONGS_EQUAL(4, Post("announce", body, 400)["faults"].size());
 }
 
 // Guards against new work and new targets on an instance that stops.
