--- a/packages/caller/request_dispatcher.cc
+++ b/packages/caller/request_dispatcher.cc
@@ -15,10 +15,14 @@
 constexpr RequestRole kEntry = RequestRole::kEntry;
 // A request waits for capacity for at most this part of its deadline.
 constexpr int kWaitDivisor = 4;
+// Another request was faster; the next choice sees its use of the capacity.
+constexpr Milliseconds kFullOwnerDelay{1};
 // A commit takes at most about 120 ms plus one election of 2 s.
 constexpr Milliseconds kLongestClaimWait{4'000};
 constexpr Milliseconds kFirstBackoff{10};
 constexpr Milliseconds kLongestBackoff{500};
+// How often a waiting request looks whether the instance stops.
+constexpr Milliseconds kAbortInterval{200};
 // The owner stops at the deadline; its answer needs time to arrive.
 constexpr Milliseconds kAnswerGrace{250};
 
@@ -217,6 +221,7 @@
       case RequestOutcome::kNoCapacity:
         // Bounded: each owner counts as full until its next summary.
         options_.table->MarkOwnerFull(request.service, owner.value().instance);
+        std::this_thread::sleep_for(kFullOwnerDelay);
         continue;
       case RequestOutcome::kOutcomeUnknown:
         attempts->may_have_run = true;
@@ -308,8 +313,11 @@
                       [pending](Result<std::vector<std::byte>> result) {
                         pending->Set(std::move(result));
                       });
-  const std::optional<Result<std::vector<std::byte>>> result =
-      pending->Wait(request.remaining + 2 * kAnswerGrace);
+  const MonotonicTime give_up = Now() + request.remaining + 2 * kAnswerGrace;
+  std::optional<Result<std::vector<std::byte>>> result;
+  while (!result.has_value() && Now() < give_up && !aborted_.load()) {
+    result = pending->Wait(std::min(Until(give_up), kAbortInterval));
+  }
   ForwardedAnswer failure;
   failure.outcome = RequestOutcome::kOutcomeUnknown;
   if (!result.has_value()) {
