--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -7,13 +7,13 @@
 
 namespace {
 
-// Entries that stay in memory after a snapshot, so that a follower that lags a
-// little does not need the whole snapshot.
-constexpr LogIndex kRetainedEntries = 4096;
-constexpr size_t kMaximumAnsweredProbes = 16;
+constexpr size_t kMaximumRetainedBytes = size_t{8} * 1024 * 1024;
+// Probes of the last 5 s. An answer that is older is of no use.
+constexpr size_t kMaximumProbes = 16;
 
 int64_t ToNanoseconds(MonotonicTime time) {
-  return std::chrono::nanoseconds(time.time_since_epoch()).count();
+  const std::chrono::nanoseconds since_start = time.time_since_epoch();
+  return since_start.count();
 }
 
 MonotonicTime FromNanoseconds(int64_t nanoseconds) {
@@ -42,6 +42,7 @@
       peers_(std::move(options.peers)),
       random_(options.seed),
       now_(options.now),
+      retained_entries_(options.retained_entries),
       may_campaign_(options.may_campaign),
       hard_state_(std::move(options.hard_state)),
       snapshot_(std::move(options.snapshot)),
@@ -209,11 +210,17 @@
   BRAMLEYRAIL_ASSERT(snapshot->index <= applied_index_,
                      "a snapshot holds applied entries only");
   snapshot_ = std::move(snapshot);
-  const LogIndex retained = std::min(kRetainedEntries, snapshot_->index);
-  const LogIndex through = snapshot_->index - retained;
-  if (through > log_.base_index()) {
-    log_.CompactThrough(through);
+  LogIndex through = snapshot_->index;
+  size_t bytes = 0;
+  while (through > log_.base_index() &&
+         snapshot_->index - through < retained_entries_) {
+    bytes += log_.At(through).data.size();
+    if (bytes > kMaximumRetainedBytes) {
+      break;
+    }
+    --through;
   }
+  log_.CompactThrough(through);
   while (configurations_.size() > 1 &&
          configurations_[1].first <= snapshot_->index) {
     configurations_.pop_front();
@@ -275,7 +282,12 @@
     return;
   }
   probe_sent_at_ = now_;
-  Send(MessageTo(MessageType::kFreshnessProbe, *leader_));
+  ConsensusMessage probe = MessageTo(MessageType::kFreshnessProbe, *leader_);
+  open_probes_.push_back(probe.sent_at);
+  if (open_probes_.size() > kMaximumProbes) {
+    open_probes_.pop_front();
+  }
+  Send(std::move(probe));
 }
 
 void ReplicaCore::HandleProbe(const ConsensusMessage& message) {
@@ -292,9 +304,14 @@
 }
 
 void ReplicaCore::HandleProbeAnswer(const ConsensusMessage& message) {
+  // An answer to an earlier process may carry the time of another clock, since
+  // the monotonic clock starts anew with the machine.
+  if (std::erase(open_probes_, message.sent_at) == 0) {
+    return;
+  }
   answered_probes_.emplace_back(FromNanoseconds(message.sent_at),
                                 message.index);
-  if (answered_probes_.size() > kMaximumAnsweredProbes) {
+  if (answered_probes_.size() > kMaximumProbes) {
     answered_probes_.pop_front();
   }
   UpdateFreshness();
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -66,6 +66,9 @@
     HardState hard_state;
     SnapshotPointer snapshot;
     std::vector<LogEntry> entries;
+    // Entries that stay in memory after a snapshot, so that a follower that
+    // lags a little does not need the whole snapshot.
+    LogIndex retained_entries = 4096;
     // False until every initial voter has formed.
     bool may_campaign = true;
   };
@@ -207,6 +210,7 @@
   std::vector<std::string> peers_;
   std::mt19937_64 random_;
   MonotonicTime now_;
+  LogIndex retained_entries_;
   bool may_campaign_;
 
   HardState hard_state_;
@@ -241,6 +245,8 @@
 
   std::optional<MonotonicTime> probe_sent_at_;
   std::optional<MonotonicTime> join_sent_at_;
+  // Send times of the probes that were not answered, in nanoseconds.
+  std::deque<int64_t> open_probes_;
   // Answered probes whose index is not applied yet: send time and index.
   std::deque<std::pair<MonotonicTime, LogIndex>> answered_probes_;
   std::optional<MonotonicTime> fresh_as_of_;
--- a/packages/consensus/replica_core_leader.cc
+++ b/packages/consensus/replica_core_leader.cc
@@ -175,7 +175,8 @@
     progress->snapshot_sent = progress->snapshot_acknowledged;
   }
   const uint64_t size = snapshot.data.size();
-  // An empty snapshot and the last answer also need a chunk of their own.
+  // `snapshot_sent` is one more than the size once the last chunk was sent, so
+  // that an empty snapshot is sent as one chunk too.
   const auto chunk_due = [&] {
     const uint64_t acknowledged = progress->snapshot_acknowledged;
     if (progress->snapshot_sent >= acknowledged + kSnapshotWindowBytes) {
@@ -195,8 +196,8 @@
     const auto begin =
         snapshot.data.begin() + static_cast<ptrdiff_t>(chunk.offset);
     chunk.data.assign(begin, begin + static_cast<ptrdiff_t>(length));
-    Send(std::move(chunk));
     const uint64_t end = chunk.offset + length;
+    Send(std::move(chunk));
     progress->snapshot_sent = end == size ? size + 1 : end;
   }
 }
--- a/packages/consensus/replica_id.h
+++ b/packages/consensus/replica_id.h
@@ -1,9 +1,9 @@
 #ifndef PACKAGES_CONSENSUS_REPLICA_ID_H_
 #define PACKAGES_CONSENSUS_REPLICA_ID_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace bramleyrail {
 
@@ -19,8 +19,10 @@
   std::string name;
   uint64_t generation = kAnyGeneration;
 
-  auto operator<=>(const ReplicaId&) const = default;
   bool operator==(const ReplicaId&) const = default;
+  bool operator<(const ReplicaId& other) const {
+    return std::tie(name, generation) < std::tie(other.name, other.generation);
+  }
 
   // For example "entry-1.1".
   std::string ToString() const {
--- a/packages/replication/proposal_tracker.h
+++ b/packages/replication/proposal_tracker.h
@@ -1,7 +1,6 @@
 #ifndef PACKAGES_REPLICATION_PROPOSAL_TRACKER_H_
 #define PACKAGES_REPLICATION_PROPOSAL_TRACKER_H_
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -9,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "packages/consensus/consensus.h"
@@ -63,7 +63,10 @@
     LogIndex index = 0;
     Term term = 0;
 
-    auto operator<=>(const LogPosition&) const = default;
+    bool operator==(const LogPosition&) const = default;
+    bool operator<(const LogPosition& other) const {
+      return std::tie(index, term) < std::tie(other.index, other.term);
+    }
   };
 
   void Place(ReplicaCore* core, Waiting waiting, MonotonicTime now);
--- a/packages/replication/replica_driver.cc
+++ b/packages/replication/replica_driver.cc
@@ -8,17 +8,11 @@
 
 namespace {
 
-constexpr LogIndex kSnapshotEntries = 4096;
 constexpr size_t kSnapshotBytes = size_t{8} * 1024 * 1024;
 
-// Does not depend on the seed: a generation must never be drawn twice.
-uint64_t NewGeneration() {
-  return std::max<uint64_t>(Hash64(NewUniqueId(), 0), kFirstGeneration + 1);
-}
-
 Formation::Options FormationOptions(const ReplicaOptions& options) {
   return {options.instance_name, options.initial_voters,
-          Hash64(NewUniqueId(), 0)};
+          options.unique_number()};
 }
 
 Configuration InitialConfiguration(const std::vector<std::string>& voters) {
@@ -76,12 +70,16 @@
             return options_.send(
                 peer, EncodeWireMessage(ForwardedProposal{call, command}));
           },
-          Hash64(NewUniqueId(), 0)) {
+          options_.unique_number()) {
   if (store_) {
     recovered_ = store_->TakeRecovered();
   }
 }
 
+uint64_t ReplicaDriver::NewGeneration() const {
+  return std::max(options_.unique_number(), kFirstGeneration + 1);
+}
+
 void ReplicaDriver::Start(MonotonicTime now) {
   now_ = now;
   if (recovered_.truncated_bytes > 0) {
@@ -111,6 +109,7 @@
 
 void ReplicaDriver::CreateCore(ReplicaCore::Options options) {
   options.peers = options_.peers;
+  options.retained_entries = options_.retained_entries;
   options.seed = Hash64(options_.instance_name, options_.seed);
   options.now = now_;
   options.may_campaign = formation_.AllFormed();
@@ -257,7 +256,7 @@
 
 void ReplicaDriver::SaveSnapshotIfDue() {
   const LogIndex index = core_->applied_index();
-  if (index - snapshot_index_ < kSnapshotEntries &&
+  if (index - snapshot_index_ < options_.snapshot_entries &&
       bytes_since_snapshot_ < kSnapshotBytes) {
     return;
   }
--- a/packages/replication/replica_driver.h
+++ b/packages/replication/replica_driver.h
@@ -40,10 +40,13 @@
   // End of the lease of a leader whose state is complete.
   std::optional<MonotonicTime> LeaseEnd() const;
   std::optional<MonotonicTime> FreshAsOf() const;
+  // Null until the folder is formatted.
+  const ReplicaCore* core() const { return core_.get(); }
 
  private:
   ReplicaDriver(ReplicaOptions options, std::unique_ptr<ReplicaStore> store);
 
+  uint64_t NewGeneration() const;
   void ContinueFormation();
   void FormatFolder(Formation::Decision decision);
   void CreateCore(ReplicaCore::Options options);
--- a/packages/replication/replica_driver_messages.cc
+++ b/packages/replication/replica_driver_messages.cc
@@ -103,7 +103,7 @@
     logged_role_ = core_->role();
     logged_leader_ = core_->leader();
     LogEvent(kRoleChanged,
-             {{"role", ReplicaRoleName(logged_role_)},
+             {{"role", std::string(ReplicaRoleName(logged_role_))},
               {"term", core_->term()},
               {"leader", logged_leader_ ? logged_leader_->ToString() : ""}});
   }
--- a/packages/replication/replica_options.h
+++ b/packages/replication/replica_options.h
@@ -33,6 +33,16 @@
   // election, which takes 1 to 2 s.
   Milliseconds propose_timeout{5000};
 
+  // A snapshot is taken after this many entries, or 8 MB of them.
+  LogIndex snapshot_entries = 4096;
+  // Entries that stay in memory after a snapshot, for followers that lag.
+  LogIndex retained_entries = 4096;
+  // Returns a number that was never returned before, in any process: for
+  // replica generations and call numbers. Does not depend on the seed.
+  std::function<uint64_t()> unique_number = [] {
+    return Hash64(NewUniqueId(), 0);
+  };
+
   // Sends a message to an instance. False when it was certainly not sent.
   std::function<bool(std::string_view peer, std::span<const std::byte> bytes)>
       send;
--- /dev/null
+++ b/packages/replication/tests/simulation_test.cc
@@ -0,0 +1,287 @@
+#include <rapidcheck.h>
+
+#include "packages/replication/fakes/cluster_simulation.h"
+
+// Redefines operator new, so it comes after the standard library.
+#include "CppUTest/TestHarness.h"
+
+namespace bramleyrail {
+namespace {
+
+constexpr uint64_t kFaultKinds = 12;
+constexpr uint64_t kSeeds = 60;
+constexpr int kRoundsPerSeed = 200;
+
+std::vector<std::string> ThreeVoters() {
+  return {"a", "b", "c"};
+}
+
+struct Fault {
+  uint64_t kind = 0;      // Below kFaultKinds.
+  uint64_t instance = 0;  // Modulo the number of instances.
+  uint64_t amount = 0;
+};
+
+void Apply(ClusterSimulation* simulation, const Fault& fault) {
+  const std::vector<std::string>& names = simulation->names();
+  const std::string& name = names[fault.instance % names.size()];
+  const std::string& other = names[fault.amount % names.size()];
+  const bool has_disk = !name.starts_with("observer");
+  switch (fault.kind) {
+    case 0:
+    case 1:
+      simulation->Crash(name, fault.amount % 200, fault.amount % 2 == 0);
+      break;
+    case 2:
+      simulation->Isolate(name);
+      break;
+    case 3:
+      simulation->CutLink(name, other);
+      break;
+    case 4:
+      simulation->HealLinks();
+      break;
+    case 5:
+      // Two lost disks at once are a lost quorum, from which nothing recovers.
+      if (simulation->IsRepaired() && has_disk) {
+        simulation->LoseDisk(name);
+      }
+      break;
+    case 6:
+      if (has_disk) {
+        simulation->DiskOf(name).successful_calls =
+            static_cast<int>(fault.amount % 20);
+      }
+      break;
+    case 7:
+      simulation->Pause(name);
+      break;
+    case 8:
+      if (simulation->IsUp(name)) {
+        simulation->TransferLeadership(name);
+      }
+      break;
+    default:
+      for (const std::string& each : names) {
+        simulation->Resume(each);
+        simulation->Restart(each);
+      }
+  }
+  for (int proposal = 0; proposal < 5; ++proposal) {
+    simulation->Propose(names[(fault.amount + proposal) % names.size()]);
+    simulation->RunFor(Milliseconds(100));
+  }
+}
+
+// Ends all faults. Instances restart, since a failed disk stops the store of a
+// process for good.
+void HealEverything(ClusterSimulation* simulation) {
+  simulation->HealLinks();
+  for (const std::string& name : simulation->names()) {
+    if (!name.starts_with("observer")) {
+      simulation->DiskOf(name).successful_calls = std::nullopt;
+    }
+    simulation->Crash(name, 0, false);
+    simulation->Resume(name);
+    simulation->Restart(name);
+  }
+}
+
+// Returns "" when the log stayed safe, the cluster recovered, and every
+// proposal got its one callback.
+std::string RecoverAndCheck(ClusterSimulation* simulation) {
+  HealEverything(simulation);
+  const bool converged = simulation->RunUntilConverged();
+  simulation->RunFor(Milliseconds(6000));
+  simulation->checker().CheckOutcomes();
+  if (!simulation->checker().violation().empty()) {
+    return simulation->checker().violation();
+  }
+  return converged ? "" : "no recovery: " + simulation->Describe();
+}
+
+ClusterSimulation::Options FaultyOptions(uint64_t seed) {
+  return {.voters = ThreeVoters(),
+          .observers = {"observer"},
+          .seed = seed,
+          .drop_probability = 0.05,
+          .maximum_delay = Milliseconds(60),
+          .clock_rate_difference = 0.02};
+}
+
+TEST_GROUP(Simulation){void CheckSafe(ClusterSimulation & simulation){
+    STRCMP_EQUAL("", simulation.checker().violation().c_str());
+}  // namespace
+};  // namespace bramleyrail
+
+// Guards against every loss of safety that a long random sequence of crashes,
+// torn writes, failed and lost disks, cut links and pauses can cause.
+TEST(Simulation, RandomFaultsKeepTheLogSafeAndItRecovers) {
+  uint64_t events = 0;
+  int restored = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterSimulation simulation(FaultyOptions(seed));
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < kRoundsPerSeed; ++round) {
+      Apply(&simulation, {random() % kFaultKinds, random(), random()});
+    }
+    const std::string failure = RecoverAndCheck(&simulation);
+    STRCMP_EQUAL_TEXT("", failure.c_str(), std::to_string(seed).c_str());
+    CHECK(simulation.successes() > 0);
+    restored += simulation.snapshots_restored();
+    events += simulation.events();
+  }
+  // The sequences reached what they are meant to.
+  CHECK(events > 1'000'000);
+  CHECK(restored > 100);
+}
+
+// Guards against the same, and reduces a sequence that fails to a short one.
+TEST(Simulation, NoShortSequenceOfFaultsLosesSafety) {
+  const auto fault = rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange<uint64_t>(0, kFaultKinds),
+                     rc::gen::inRange<uint64_t>(0, 4),
+                     rc::gen::inRange<uint64_t>(0, 1000)),
+      [](const std::tuple<uint64_t, uint64_t, uint64_t>& draw) {
+        return std::apply([](auto... parts) { return Fault{parts...}; }, draw);
+      });
+  CHECK(rc::check("faults", [&] {
+    const auto faults = *rc::gen::container<std::vector<Fault>>(fault);
+    ClusterSimulation simulation(
+        FaultyOptions(*rc::gen::arbitrary<uint64_t>()));
+    simulation.RunUntilLeader();
+    for (const Fault& each : faults) {
+      Apply(&simulation, each);
+    }
+    RC_ASSERT(RecoverAndCheck(&simulation) == std::string());
+  }));
+}
+
+// Guards against a leader that goes on acting after it lost its quorum, at
+// clock rates that differ by 5%.
+TEST(Simulation, CutOffLeaderStepsDownBeforeAnotherLeads) {
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    ClusterSimulation simulation({.voters = ThreeVoters(),
+                                  .seed = seed,
+                                  .clock_rate_difference = 0.025});
+    CHECK(simulation.RunUntilLeader());
+    const std::string old_leader = simulation.Leader();
+    simulation.Isolate(old_leader);
+    simulation.Propose(old_leader);
+    // The checker looks for two leases at the same moment.
+    CHECK(simulation.RunUntil([&] {
+      const std::string leader = simulation.Leader();
+      return !leader.empty() && leader != old_leader;
+    }));
+    CHECK(simulation.At(old_leader).core()->role() != ReplicaRole::kLeader);
+    LONGS_EQUAL(0, simulation.successes());
+    simulation.HealLinks();
+    CHECK(simulation.RunUntilConverged());
+    CheckSafe(simulation);
+  }
+}
+
+// Guards against a paused leader that acts on a lease that ran out while it
+// did not run.
+TEST(Simulation, PausedLeaderDoesNotActAfterItsLease) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 1});
+  CHECK(simulation.RunUntilLeader());
+  const std::string old_leader = simulation.Leader();
+  simulation.Pause(old_leader);
+  simulation.RunFor(Milliseconds(5000));
+  const std::string leader = simulation.Leader();
+  CHECK(!leader.empty());
+  CHECK(leader != old_leader);
+  simulation.Resume(old_leader);
+  simulation.Propose(old_leader);
+  CHECK(simulation.RunUntil([&] { return simulation.successes() == 1; }));
+  CheckSafe(simulation);
+}
+
+// Guards against a repair that leaves the old replica in the quorum: a second
+// loss right afterwards would then stop the cluster.
+TEST(Simulation, SecondDiskLostRightAfterARepairIsRepairedToo) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation({.voters = ThreeVoters(), .seed = seed});
+    CHECK(simulation.RunUntilLeader());
+    for (int loss = 0; loss < 6; ++loss) {
+      const std::string lost =
+          loss % 2 == 0 ? simulation.Leader() : ThreeVoters()[seed % 3];
+      simulation.Propose(lost);
+      simulation.RunFor(Milliseconds(200));
+      simulation.LoseDisk(lost);
+      simulation.Restart(lost);
+      CHECK_TRUE_TEXT(
+          simulation.RunUntil([&] { return simulation.IsRepaired(); }),
+          simulation.Describe().c_str());
+    }
+    CHECK(simulation.RunUntilConverged());
+    LONGS_EQUAL(6, simulation.successes());
+    CheckSafe(simulation);
+  }
+}
+
+// Guards against a snapshot that does not fit into one message, and against
+// chunks that get lost.
+TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
+  ClusterSimulation simulation({.voters = ThreeVoters(),
+                                .seed = 3,
+                                .drop_probability = 0.1,
+                                .snapshot_entries = 20,
+                                .snapshot_bytes = 40 * kSnapshotChunkBytes});
+  CHECK(simulation.RunUntilLeader());
+  simulation.Crash("c", 0, false);
+  for (int proposal = 0; proposal < 200; ++proposal) {
+    simulation.Propose("a");
+    simulation.RunFor(Milliseconds(50));
+  }
+  simulation.Restart("c");
+  CHECK(simulation.RunUntilConverged());
+  CHECK(simulation.snapshots_restored() > 0);
+  CheckSafe(simulation);
+}
+
+// Guards against a planned stop that costs an election timeout.
+TEST(Simulation, TransferMovesLeadershipWithoutAnElectionTimeout) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 4});
+  CHECK(simulation.RunUntilLeader());
+  const std::string old_leader = simulation.Leader();
+  simulation.TransferLeadership(old_leader);
+  simulation.RunFor(Milliseconds(300));
+  CHECK(!simulation.Leader().empty());
+  CHECK(simulation.Leader() != old_leader);
+  CheckSafe(simulation);
+}
+
+// Guards against a replica that still votes or acknowledges after its disk
+// failed, and against an instance that stops with it.
+TEST(Simulation, InstanceWithAFailedDiskContinuesAsAnObserver) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 5});
+  CHECK(simulation.RunUntilLeader());
+  const std::string failed = simulation.Leader();
+  simulation.DiskOf(failed).successful_calls = 0;
+  simulation.Propose(failed);
+  CHECK(simulation.RunUntil([&] {
+    return !simulation.Leader().empty() && simulation.Leader() != failed;
+  }));
+  CHECK(simulation.At(failed).Status().is_observer);
+  CHECK(simulation.At(failed).Status().storage_fault.has_value());
+  simulation.Propose(failed);
+  CHECK(simulation.RunUntil([&] { return simulation.successes() > 0; }));
+  CHECK(simulation.RunUntilConverged());
+  CheckSafe(simulation);
+}
+
+// Guards against one sync for each proposal, which would limit the rate of
+// changes to that of the disk.
+TEST(Simulation, ProposalsOfOneStepShareASync) {
+  ClusterSimulation simulation({.voters = {"a"}, .seed = 6});
+  CHECK(simulation.RunUntilLeader());
+  const int syncs = simulation.DiskOf("a").syncs;
+  simulation.ProposeTogether("a", 30);
+  LONGS_EQUAL(30, simulation.successes());
+  LONGS_EQUAL(syncs + 1, simulation.DiskOf("a").syncs);
+}
+
+}  // namespace
+}  // namespace bramleyrail
--- a/packages/storage/posix_disk.cc
+++ b/packages/storage/posix_disk.cc
@@ -20,13 +20,25 @@
 constexpr mode_t kFolderMode = 0750;
 constexpr mode_t kFileMode = 0640;
 
+Result<void> SyncFolderAt(const std::string& path) {
+  const FileDescriptor folder(
+      open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (!folder.is_valid() || fsync(folder.get()) != 0) {
+    return MakePosixError("sync folder", path);
+  }
+  return Success();
+}
+
 }  // namespace
 
 PosixDisk::PosixDisk(std::string folder, FileDescriptor lock)
     : folder_(std::move(folder)), lock_(std::move(lock)) {}
 
 Result<std::unique_ptr<PosixDisk>> PosixDisk::Open(const std::string& folder) {
-  if (mkdir(folder.c_str(), kFolderMode) != 0 && errno != EEXIST) {
+  if (mkdir(folder.c_str(), kFolderMode) == 0) {
+    // Without this, a crash could lose the whole folder.
+    TRY(SyncFolderAt(folder + "/.."));
+  } else if (errno != EEXIST) {
     return MakePosixError("create folder", folder);
   }
   const std::string path = folder + "/" + kLockName;
@@ -133,12 +145,7 @@
 }
 
 Result<void> PosixDisk::SyncFolder() {
-  const FileDescriptor folder(
-      open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (!folder.is_valid() || fsync(folder.get()) != 0) {
-    return MakePosixError("sync folder", folder_);
-  }
-  return Success();
+  return SyncFolderAt(folder_);
 }
 
 std::string PosixDisk::PathOf(std::string_view name) const {
--- a/packages/storage/replica_store.cc
+++ b/packages/storage/replica_store.cc
@@ -80,6 +80,11 @@
     std::span<const LogEntry> following) {
   TRY(WriteFile(SnapshotName(snapshot.index), EncodeSnapshot(snapshot)));
   snapshot_indexes_.push_back(snapshot.index);
+  return StartLogAfter(snapshot, following);
+}
+
+Result<void> ReplicaStore::StartLogAfter(const Snapshot& snapshot,
+                                         std::span<const LogEntry> following) {
   std::vector<LogRecord> records;
   records.push_back(MakeRecord(LogBase{snapshot.index, snapshot.term}));
   records.push_back(MakeRecord(hard_state_));
@@ -87,7 +92,8 @@
     records.push_back(MakeRecord(entry));
   }
   TRY(StartSegment(std::move(records)));
-  return RemoveBefore(segments_.back(), snapshot.index);
+  TRY(RemoveSegmentsBefore(segments_.back()));
+  return RemoveSnapshotsBefore(snapshot.index);
 }
 
 Result<void> ReplicaStore::WriteFile(const std::string& name,
@@ -115,28 +121,27 @@
 }
 
 Result<void> ReplicaStore::StartSegment(std::vector<LogRecord> records) {
-  const uint64_t sequence = segments_.empty() ? 1 : segments_.back() + 1;
-  TRY(file, disk_->Create(SegmentName(sequence)));
+  TRY(file, disk_->Create(SegmentName(next_batch_)));
   segment_ = std::move(file);
   segment_bytes_ = 0;
-  segments_.push_back(sequence);
+  segments_.push_back(next_batch_);
   TRY(WriteBatch(std::move(records)));
   return disk_->SyncFolder();
 }
 
-Result<void> ReplicaStore::RemoveBefore(uint64_t sequence,
-                                        LogIndex snapshot_index) {
-  // Oldest first, so that an interrupted removal leaves no gap.
-  while (segments_.front() < sequence) {
+Result<void> ReplicaStore::RemoveSegmentsBefore(uint64_t first_batch) {
+  while (segments_.front() < first_batch) {
     TRY(disk_->Remove(SegmentName(segments_.front())));
     segments_.erase(segments_.begin());
   }
-  for (const LogIndex index : snapshot_indexes_) {
-    if (index < snapshot_index) {
-      TRY(disk_->Remove(SnapshotName(index)));
-    }
+  return Success();
+}
+
+Result<void> ReplicaStore::RemoveSnapshotsBefore(LogIndex index) {
+  while (snapshot_indexes_.front() < index) {
+    TRY(disk_->Remove(SnapshotName(snapshot_indexes_.front())));
+    snapshot_indexes_.erase(snapshot_indexes_.begin());
   }
-  snapshot_indexes_ = {snapshot_index};
   return Success();
 }
 
--- a/packages/storage/replica_store.h
+++ b/packages/storage/replica_store.h
@@ -11,6 +11,7 @@
 #include "packages/consensus/consensus.h"
 #include "packages/storage/disk.h"
 #include "packages/storage/log_record.h"
+#include "packages/storage/log_segment_scan.h"
 
 namespace bramleyrail {
 
@@ -60,7 +61,7 @@
   Result<void> RecoverIdentity(const std::vector<std::string>& names);
   Result<void> RecoverSnapshot();
   Result<void> RecoverSegments();
-  Result<void> RecoverSegment(uint64_t sequence, bool is_last);
+  Result<LogSegmentScan> RecoverSegment(uint64_t first_batch, bool is_last);
   Result<void> ReplayRecords(const std::vector<LogRecord>& records);
   Result<void> ReplayEntry(LogEntry entry);
   Result<void> TrimToSnapshot();
@@ -74,16 +75,20 @@
                                std::span<const LogEntry> entries);
   Result<void> SaveSnapshotUnguarded(const Snapshot& snapshot,
                                      std::span<const LogEntry> following);
-  Result<void> RemoveBefore(uint64_t sequence, LogIndex snapshot_index);
+  Result<void> StartLogAfter(const Snapshot& snapshot,
+                             std::span<const LogEntry> following);
+  Result<void> RemoveSegmentsBefore(uint64_t first_batch);
+  Result<void> RemoveSnapshotsBefore(LogIndex index);
   Result<void> Guard(Result<void> result);
 
   std::shared_ptr<Disk> disk_;
   std::optional<Error> fault_;
   RecoveredState recovered_;
-  std::optional<LogBase> recovered_base_;
+  LogBase base_;  // Of the oldest segment.
 
   HardState hard_state_;
-  std::vector<uint64_t> segments_;          // Sequence numbers, ascending.
+  // Numbers of the first batch of each segment, ascending.
+  std::vector<uint64_t> segments_;
   std::vector<LogIndex> snapshot_indexes_;  // Of the stored snapshots.
   std::unique_ptr<DiskFile> segment_;
   uint64_t segment_bytes_ = 0;
--- a/packages/storage/replica_store_recovery.cc
+++ b/packages/storage/replica_store_recovery.cc
@@ -37,6 +37,11 @@
   TRY(RecoverSegments());
   TRY(TrimToSnapshot());
   hard_state_ = recovered_.hard_state;
+  if (recovered_.snapshot && recovered_.snapshot->index != base_.index) {
+    // The process ended between the snapshot and its segment. The entries of
+    // the old segments need not reach up to the snapshot.
+    return StartLogAfter(*recovered_.snapshot, recovered_.entries);
+  }
   // What an earlier process wrote may still be in the page cache only, and
   // counts as durable from now on.
   TRY(file, disk_->OpenForAppend(SegmentName(segments_.back())));
@@ -92,44 +97,58 @@
 }
 
 Result<void> ReplicaStore::RecoverSegments() {
-  const std::vector<uint64_t> sequences = segments_;
-  for (size_t position = 0; position < sequences.size(); ++position) {
-    if (position > 0 && sequences[position] != sequences[position - 1] + 1) {
-      return MakeDamageError("a log segment is missing");
+  // Segments before the newest one that starts with a base are left over from
+  // an interrupted removal.
+  std::vector<LogSegmentScan> scans;
+  bool found_base = false;
+  for (size_t position = segments_.size(); position > 0 && !found_base;) {
+    --position;
+    const bool is_last = position + 1 == segments_.size();
+    TRY(scan, RecoverSegment(segments_[position], is_last));
+    if (scan.records.empty()) {
+      // Its first batch was never synced, so the segment before is complete.
+      TRY(disk_->Remove(SegmentName(segments_[position])));
+      segments_.pop_back();
+      continue;
     }
-    TRY(RecoverSegment(sequences[position], position + 1 == sequences.size()));
+    found_base = scan.records.front().type == RecordType::kBase;
+    scans.push_back(std::move(scan));
   }
-  if (segments_.empty()) {
-    return MakeDamageError("the log is missing");
+  if (!found_base) {
+    return MakeDamageError("the start of the log is missing");
   }
-  return Success();
+  const size_t leftover = segments_.size() - scans.size();
+  std::reverse(scans.begin(), scans.end());
+  for (size_t position = 0; position < scans.size(); ++position) {
+    if (position > 0 && segments_[leftover + position] != next_batch_) {
+      return MakeDamageError("a log segment is missing");
+    }
+    next_batch_ = scans[position].records.back().batch + 1;
+    segment_bytes_ = scans[position].good_bytes;
+    TRY(ReplayRecords(scans[position].records));
+  }
+  return RemoveSegmentsBefore(segments_[leftover]);
 }
 
-Result<void> ReplicaStore::RecoverSegment(uint64_t sequence, bool is_last) {
-  const std::string name = SegmentName(sequence);
+Result<LogSegmentScan> ReplicaStore::RecoverSegment(uint64_t first_batch,
+                                                    bool is_last) {
+  const std::string name = SegmentName(first_batch);
   TRY(data, disk_->Read(name));
-  const LogSegmentScan scan = LogSegmentScan::Scan(data, next_batch_);
+  LogSegmentScan scan = LogSegmentScan::Scan(data, first_batch);
   const bool is_torn = scan.end == LogSegmentScan::End::kTorn;
-  if (scan.end == LogSegmentScan::End::kDamaged || (is_torn && !is_last)) {
+  // A batch is written to a new segment only after the old one was synced, and
+  // the first batch of the only segment was synced before all others went.
+  const bool may_be_torn =
+      is_last && (!scan.records.empty() || segments_.size() > 1);
+  if (scan.end == LogSegmentScan::End::kDamaged || (is_torn && !may_be_torn) ||
+      (scan.records.empty() && !may_be_torn)) {
     return MakeDamageError("a record in '" + name + "' is damaged");
   }
   recovered_.truncated_bytes += data.size() - scan.good_bytes;
-  if (scan.records.empty()) {
-    // Its first batch was never synced, so the segment before it is complete.
-    // The first batch of the only segment was synced before all others went.
-    if (!is_last || segments_.size() == 1) {
-      return MakeDamageError("'" + name + "' is incomplete");
-    }
-    TRY(disk_->Remove(name));
-    std::erase(segments_, sequence);
-    return Success();
-  }
-  if (is_torn) {
+  if (is_torn && !scan.records.empty()) {
     TRY(disk_->Truncate(name, scan.good_bytes));
   }
-  segment_bytes_ = scan.good_bytes;
-  next_batch_ = scan.records.back().batch + 1;
-  return ReplayRecords(scan.records);
+  return scan;
 }
 
 Result<void> ReplicaStore::ReplayRecords(
@@ -153,7 +172,11 @@
         continue;
       }
       case RecordType::kBase: {
-        recovered_base_ = ParseBase(record.payload);
+        const std::optional<LogBase> base = ParseBase(record.payload);
+        if (!base) {
+          return MakeDamageError("the start of the log is damaged");
+        }
+        base_ = *base;
         recovered_.entries.clear();
         continue;
       }
@@ -165,11 +188,7 @@
 
 Result<void> ReplicaStore::ReplayEntry(LogEntry entry) {
   std::vector<LogEntry>& entries = recovered_.entries;
-  if (!recovered_base_) {
-    // Older segments were removed; a base record follows in a newer one.
-    recovered_base_ = LogBase{entry.index - 1, 0};
-  }
-  const LogIndex base = recovered_base_->index;
+  const LogIndex base = base_.index;
   if (entry.index <= base || entry.index > base + entries.size() + 1) {
     return MakeDamageError("a log entry is missing");
   }
@@ -185,7 +204,7 @@
 }
 
 Result<void> ReplicaStore::TrimToSnapshot() {
-  const LogIndex base = recovered_base_ ? recovered_base_->index : 0;
+  const LogIndex base = base_.index;
   std::vector<LogEntry>& entries = recovered_.entries;
   if (!recovered_.snapshot) {
     if (base > 0) {
--- a/packages/storage/store_files.cc
+++ b/packages/storage/store_files.cc
@@ -54,8 +54,8 @@
 
 }  // namespace
 
-std::string SegmentName(uint64_t sequence) {
-  return absl::StrFormat("log-%020u", sequence);
+std::string SegmentName(uint64_t first_batch) {
+  return absl::StrFormat("log-%020u", first_batch);
 }
 
 std::string SnapshotName(LogIndex index) {
--- a/packages/storage/store_files.h
+++ b/packages/storage/store_files.h
@@ -17,7 +17,7 @@
 inline constexpr char kIdentityName[] = "identity";
 inline constexpr char kTemporarySuffix[] = ".tmp";
 
-std::string SegmentName(uint64_t sequence);
+std::string SegmentName(uint64_t first_batch);
 std::string SnapshotName(LogIndex index);
 // The number in the name of a segment or snapshot; nullopt for other files.
 std::optional<uint64_t> ParseSegmentName(std::string_view name);
