--- a/packages/bramleyraild/instance.cc
+++ b/packages/bramleyraild/instance.cc
@@ -154,20 +154,20 @@
   status.network = network_.get();
   status_reporter_ = StatusReporter::Create(std::move(status));
 
-  OperatorServer::Options operators;
-  operators.listen = {settings_.listen.operators.address,
-                      settings_.listen.operators.port};
-  operators.watch_listen = {settings_.listen.operator_watches.address,
-                            settings_.listen.operator_watches.port};
+  OperatorServerOptions operators;
+  operators.listen_address = settings_.listen.operators.address;
+  operators.port = settings_.listen.operators.port;
+  operators.watch_listen_address = settings_.listen.operator_watches.address;
+  operators.watch_port = settings_.listen.operator_watches.port;
   operators.state = state_->Access();
-  operators.instance_statuses = [this] {
+  operators.hooks.instance_statuses = [this] {
     return status_reporter_->CollectStatuses();
   };
-  operators.request_state = [this](const std::string& id) {
-    return request_plane_->RequestStateJson(id);
+  operators.hooks.request_state = [this](std::string_view id) {
+    return request_plane_->RequestStateJson(std::string(id));
   };
-  operators.explain_request = [this](const std::string& id) {
-    return request_plane_->ExplainJson(id);
+  operators.hooks.explain_request = [this](std::string_view id) {
+    return request_plane_->ExplainJson(std::string(id));
   };
   TRY(operator_server, OperatorServer::Create(std::move(operators)));
   operator_server_ = std::move(operator_server);
@@ -219,7 +219,7 @@
   leader_loop_->Start();
   TRY(request_plane_->Start());
   platform_server_->Start();
-  operator_server_->Start();
+  TRY(operator_server_->Start());
   health_server_->Start();
   startup_thread_ = std::thread([this] { RunStartup(); });
   return Success();
--- a/packages/bramleyraild/leader_loop.cc
+++ b/packages/bramleyraild/leader_loop.cc
@@ -86,7 +86,7 @@
   if (!leads) {
     controller_ = nullptr;
   } else if (controller_ == nullptr) {
-    controller_ = Controller::Create(options_.controller);
+    controller_ = std::make_shared<Controller>(options_.controller);
   }
   return controller_;
 }
--- a/packages/bramleyraild/status_reporter.cc
+++ b/packages/bramleyraild/status_reporter.cc
@@ -37,7 +37,8 @@
 struct Collection {
   absl::Mutex mutex;
   size_t outstanding ABSL_GUARDED_BY(mutex) = 0;
-  std::map<std::string, Json, std::less<>> answers ABSL_GUARDED_BY(mutex);
+  std::map<std::string, InstanceStatus, std::less<>> answers
+      ABSL_GUARDED_BY(mutex);
 
   bool Complete() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
     return outstanding == 0;
@@ -54,35 +55,31 @@
       new StatusReporter(std::move(options)));
 }
 
-Json StatusReporter::LocalStatus() const {
-  const ReplicaStatus status = options_.replica_status();
-  const auto age = options_.state.state_age();
-  int64_t revision = 0;
-  options_.state.read(
-      [&](const ClusterState& state) { revision = state.revision(); });
-  Json json;
-  json["name"] = options_.settings.instance;
-  json["failure_domain"] = options_.settings.failure_domain;
-  json["region"] = options_.settings.region;
-  json["reachable"] = true;
-  json["role"] = RoleName(status, options_.settings.instance);
-  json["leader"] = status.leader ? status.leader->name : "";
-  json["term"] = status.term;
-  json["applied_index"] = status.applied_index;
-  json["configuration_revision"] = revision;
-  json["state_age_ms"] = age ? Json(age->count()) : Json();
-  json["last_contact_ms_ago"] = 0;
-  json["fault"] =
-      status.storage_fault ? status.storage_fault->ToString() : std::string();
-  return json;
+InstanceStatus StatusReporter::LocalStatus() const {
+  const ReplicaStatus replica = options_.replica_status();
+  InstanceStatus status;
+  status.name = options_.settings.instance;
+  status.failure_domain = options_.settings.failure_domain;
+  status.region = options_.settings.region;
+  status.role = RoleName(replica, options_.settings.instance);
+  status.leader = replica.leader ? replica.leader->name : "";
+  status.term = static_cast<int64_t>(replica.term);
+  status.applied_index = static_cast<int64_t>(replica.applied_index);
+  options_.state.read([&](const ClusterState& state) {
+    status.configuration_revision = state.revision();
+  });
+  if (const auto age = options_.state.state_age()) {
+    status.state_age_ms = age->count();
+  }
+  if (replica.storage_fault) {
+    status.fault = replica.storage_fault->ToString();
+  }
+  status.last_contact_ms_ago = 0;
+  return status;
 }
 
 std::vector<std::byte> StatusReporter::EncodeLocalStatus() const {
-  std::vector<std::byte> bytes;
-  for (const uint8_t byte : Json::to_cbor(LocalStatus())) {
-    bytes.push_back(std::byte{byte});
-  }
-  return bytes;
+  return EncodeInstanceStatus(LocalStatus());
 }
 
 StatusReporter::StatusByName StatusReporter::AskPeers() {
@@ -114,37 +111,38 @@
   return collection->answers;
 }
 
-Json StatusReporter::PeerEntry(const PeerSettings& peer,
-                               const StatusByName& answers,
-                               const std::vector<PeerStatus>& contacts) {
-  Json entry;
+InstanceStatus StatusReporter::PeerEntry(
+    const PeerSettings& peer,
+    const StatusByName& answers,
+    const std::vector<PeerStatus>& contacts) {
+  InstanceStatus entry;
   {
     absl::MutexLock lock(&mutex_);
     const auto known = last_answers_.find(peer.name);
-    entry = known == last_answers_.end() ? Json::object() : known->second;
+    if (known != last_answers_.end()) {
+      entry = known->second;
+    }
+  }
+  entry.name = peer.name;
+  entry.failure_domain = peer.failure_domain;
+  entry.region = peer.region;
+  entry.reachable = answers.contains(peer.name);
+  if (!entry.reachable) {
+    entry.fault = "does not answer; check the process and the network to it";
   }
-  const bool reachable = answers.contains(peer.name);
-  entry["name"] = peer.name;
-  entry["failure_domain"] = peer.failure_domain;
-  entry["region"] = peer.region;
-  entry["reachable"] = reachable;
-  entry["fault"] = reachable ? entry.value("fault", "")
-                             : "does not answer; check the process and the "
-                               "network to it";
   const auto contact = std::find_if(
       contacts.begin(), contacts.end(),
       [&](const PeerStatus& status) { return status.info.name == peer.name; });
-  entry["last_contact_ms_ago"] = Json();
+  entry.last_contact_ms_ago.reset();
   if (contact != contacts.end() && contact->last_contact) {
-    entry["last_contact_ms_ago"] =
-        std::chrono::duration_cast<Milliseconds>(options_.clock() -
-                                                 *contact->last_contact)
-            .count();
+    entry.last_contact_ms_ago = std::chrono::duration_cast<Milliseconds>(
+                                    options_.clock() - *contact->last_contact)
+                                    .count();
   }
   return entry;
 }
 
-Json StatusReporter::CollectStatuses() {
+std::vector<InstanceStatus> StatusReporter::CollectStatuses() {
   const StatusByName answers = AskPeers();
   {
     absl::MutexLock lock(&mutex_);
@@ -153,12 +151,11 @@
     }
   }
   const std::vector<PeerStatus> contacts = options_.network->Statuses();
-  Json instances = Json::array();
-  instances.push_back(LocalStatus());
+  std::vector<InstanceStatus> statuses = {LocalStatus()};
   for (const PeerSettings& peer : options_.settings.peers) {
-    instances.push_back(PeerEntry(peer, answers, contacts));
+    statuses.push_back(PeerEntry(peer, answers, contacts));
   }
-  return instances;
+  return statuses;
 }
 
 }  // namespace bramleyrail
--- a/packages/bramleyraild/status_reporter.h
+++ b/packages/bramleyraild/status_reporter.h
@@ -13,14 +13,14 @@
 #include "absl/synchronization/mutex.h"
 #include "packages/base/base.h"
 #include "packages/bramleyraild/settings.h"
+#include "packages/operator/operator.h"
 #include "packages/peer/peer.h"
 #include "packages/replication/replication.h"
 #include "packages/state/state.h"
 
 namespace bramleyrail {
 
-// Tells the status of this instance to the others, and collects theirs. The
-// shape is that of GET /v1/instances in docs/interfaces/operators.md.
+// Tells the status of this instance to the others, and collects theirs.
 class StatusReporter {
  public:
   struct Options {
@@ -38,18 +38,18 @@
 
   // Asks all peers at once and waits for up to 500 ms. Instances that do not
   // answer are reported as of their last answer.
-  Json CollectStatuses();
+  std::vector<InstanceStatus> CollectStatuses();
 
  private:
-  using StatusByName = std::map<std::string, Json, std::less<>>;
+  using StatusByName = std::map<std::string, InstanceStatus, std::less<>>;
 
   explicit StatusReporter(Options options);
 
-  Json LocalStatus() const;
+  InstanceStatus LocalStatus() const;
   StatusByName AskPeers();
-  Json PeerEntry(const PeerSettings& peer,
-                 const StatusByName& answers,
-                 const std::vector<PeerStatus>& contacts);
+  InstanceStatus PeerEntry(const PeerSettings& peer,
+                           const StatusByName& answers,
+                           const std::vector<PeerStatus>& contacts);
 
   const Options options_;
   absl::Mutex mutex_;
