--- a/packages/state/cluster_state_attempts.cc
+++ b/packages/state/cluster_state_attempts.cc
@@ -103,7 +103,7 @@
   }
   if (worker->on_probation) {
     return PreconditionError(name + " is on probation",
-                             "repair it, then end its probation");
+                             "choose another worker; this one needs repair");
   }
   if (IsWorkerDrained(start.worker)) {
     return PreconditionError(name + " is drained",
@@ -131,9 +131,14 @@
         "the task may not run in failure domain '" + spec.failure_domain + "'",
         "choose a worker of an allowed failure domain");
   }
-  ResourceAmounts on_worker = FindWorkerState(start.worker)->reserved;
-  on_worker += start.reserved;
-  if (!on_worker.FitsInto(spec.capacity)) {
+  // Checked first, so that the sum cannot overflow.
+  bool fits = start.reserved.FitsInto(spec.capacity);
+  if (fits) {
+    ResourceAmounts on_worker = FindWorkerState(start.worker)->reserved;
+    on_worker += start.reserved;
+    fits = on_worker.FitsInto(spec.capacity);
+  }
+  if (!fits) {
     return MakeError(ErrorKind::kResourceExhausted,
                      "worker '" + start.worker + "' has too little left",
                      "choose another worker");
--- a/packages/state/cluster_state_workers.cc
+++ b/packages/state/cluster_state_workers.cc
@@ -38,9 +38,10 @@
 
 CommandOutcome ClusterState::Run(const RegisterWorker& command) {
   const ResourceAmounts& capacity = command.spec.capacity;
-  const bool valid = ValidateName(command.name).has_value() &&
-                     !command.boot_id.empty() && !command.new_uid.empty() &&
-                     ResourceAmounts().FitsInto(capacity);
+  const bool valid =
+      ValidateName(command.name).has_value() && !command.boot_id.empty() &&
+      !command.new_uid.empty() && ResourceAmounts().FitsInto(capacity) &&
+      capacity.FitsInto({kMaximumAmount, kMaximumAmount, kMaximumAmount});
   if (!valid) {
     return Refuse(MakeError(
         ErrorKind::kInvalidArgument,
--- a/packages/state/codec.h
+++ b/packages/state/codec.h
@@ -205,12 +205,12 @@
 template <typename T>
 Json Pack(const T& value) {
   if constexpr (std::is_same_v<T, SharedText>) {
-    return Json(std::string(value.View()));
+    return std::string(value.View());
   } else if constexpr (std::is_same_v<T, bool> ||
                        std::is_same_v<T, std::string>) {
-    return Json(value);
+    return value;
   } else if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
-    return Json(static_cast<int64_t>(value));
+    return static_cast<int64_t>(value);
   } else if constexpr (IsOptional<T>::value) {
     return value ? Json::array({Pack(*value)}) : Json::array();
   } else if constexpr (IsVariant<T>::value) {
--- /dev/null
+++ b/packages/state/fakes/command_source.h
@@ -0,0 +1,44 @@
+#ifndef PACKAGES_STATE_FAKES_COMMAND_SOURCE_H_
+#define PACKAGES_STATE_FAKES_COMMAND_SOURCE_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "packages/state/state.h"
+
+namespace bramleyrail {
+
+// Makes random commands over a few names, so that they meet each other often.
+// Looks at the state for ids and boot ids, and is wrong about them now and
+// then, as a proposer with old knowledge is.
+class CommandSource {
+ public:
+  explicit CommandSource(uint64_t seed) : random_(seed) {}
+
+  Command Next(const ClusterState& state);
+
+ private:
+  bool OneIn(int count) { return Number(0, count - 1) == 0; }
+  int64_t Number(int64_t low, int64_t high);
+  std::string Name(const char* prefix, int count);
+  std::string NewUid();
+  std::string ChangeId();
+  const Task* AnyTask(const ClusterState& state);
+  std::string BootIdOf(const ClusterState& state, const std::string& worker);
+  ResourceDeclaration Declaration(const ClusterState& state);
+  CommandBody FirstDeclarations();
+  CommandBody OperatorChange(const ClusterState& state);
+  CommandBody WorkerChange(const ClusterState& state);
+  CommandBody AttemptChange(const ClusterState& state);
+  CommandBody Reports(const ClusterState& state);
+  CommandBody ClaimChange();
+
+  std::mt19937_64 random_;
+  int64_t next_uid_ = 1;
+  int64_t now_unix_ms_ = 1'000;
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_STATE_FAKES_COMMAND_SOURCE_H_
--- /dev/null
+++ b/packages/state/fakes/state_driver.h
@@ -0,0 +1,48 @@
+#ifndef PACKAGES_STATE_FAKES_STATE_DRIVER_H_
+#define PACKAGES_STATE_FAKES_STATE_DRIVER_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "packages/state/state.h"
+
+namespace bramleyrail {
+
+// A ClusterState with one team, one failure domain and short ways to send the
+// usual commands. Every command is checked for consistency.
+class StateDriver {
+ public:
+  StateDriver();
+
+  ClusterState& state() { return state_; }
+  CommandOutcome Apply(CommandBody body);
+  // Applies declarations, which are given as JSON.
+  CommandOutcome Declare(std::string_view json, std::string change_id = "");
+  void RegisterWorker(const std::string& name,
+                      const std::string& boot_id,
+                      ResourceAmounts capacity = {8000, 8000, 0});
+  // Declares a batch job (1,000 millis and MiB a task) and makes its tasks.
+  void DeclareJob(const std::string& name,
+                  int64_t tasks,
+                  const std::string& more_fields = "");
+  void Reconcile();
+  std::string Uid(ResourceKind kind, std::string_view name) const;
+  const Task& JobTask(std::string_view job, int64_t index) const;
+  // Starts the task on the worker, with the attempt and boot id of the state.
+  CommandOutcome Start(const Task& task,
+                       const std::string& worker,
+                       ResourceAmounts reserved = {1000, 1000, 0});
+  CommandOutcome Report(const Task& task,
+                        ReportedAttemptState state,
+                        const std::string& checkpoint = "");
+
+ private:
+  ClusterState state_;
+  int64_t next_id_ = 1;
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_STATE_FAKES_STATE_DRIVER_H_
--- a/packages/state/resource.h
+++ b/packages/state/resource.h
@@ -29,6 +29,10 @@
 
 inline constexpr int kResourceKindCount = 7;
 
+// Bound of one amount. Sums over every task and worker stay far below the range
+// of int64_t, so that no check of a capacity can overflow.
+inline constexpr int64_t kMaximumAmount = 1'000'000'000'000;
+
 // Amounts of a worker's resources, declared by tasks or offered by workers.
 struct ResourceAmounts {
   int64_t processor_millis = 0;  // Thousandths of a processor core.
--- a/packages/state/resource_json.cc
+++ b/packages/state/resource_json.cc
@@ -11,8 +11,6 @@
 using Presence = JsonReader::Presence;
 using Range = JsonReader::IntegerRange;
 
-// Bounds that keep sums over every worker far below the range of int64_t.
-constexpr int64_t kMaximumAmount = 1'000'000'000'000;
 // A job's tasks are made by one command, so their number is bounded.
 constexpr int64_t kMaximumTasks = 100'000;
 // Every declaration is copied into the log, snapshots and the watch history.
--- a/packages/state/shared_text.h
+++ b/packages/state/shared_text.h
@@ -71,11 +71,11 @@
   // Templates, because a std::string would convert to either type.
   template <OtherText T>
   friend bool operator==(const SharedText& left, const T& right) {
-    return left.View() == std::string_view(right);
+    return left.View() == std::string_view{right};
   }
   template <OtherText T>
   friend auto operator<=>(const SharedText& left, const T& right) {
-    return left.View() <=> std::string_view(right);
+    return left.View() <=> std::string_view{right};
   }
 
  private:
