Peer: Send no heartbeat before the hello

Cause: an instance that accepted a connection sent a heartbeat after 500 ms even when the hello of the peer had not come yet. A peer on a slow path would have taken it for a missing hello and closed the connection.

Change: heartbeats start when the hello was accepted.

Result: the new test receives nothing on a connection without a hello; without the change (trial on a scratch copy) it fails.

--- a/packages/peer/connection.cc
+++ b/packages/peer/connection.cc
@@ -73,8 +73,9 @@
   }
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + kHeartbeatInterval;
+    // Nothing may come before the hello, and the wait for it is limited anyway.
     // Queued frames keep the connection alive by themselves.
-    if (outbox_->empty()) {
+    if (peer_ != nullptr && outbox_->empty()) {
       outbox_->PushControl(EncodeHeartbeat());
     }
   }
--- a/packages/peer/tests/peer_link_test.cc
+++ b/packages/peer/tests/peer_link_test.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,12 +25,15 @@
 constexpr Milliseconds kLongTimeout{30'000};
 constexpr PeerChannel kChannel = PeerChannel::kRouting;
 
-// Sends bytes to the port of an instance and waits until it closes the
-// connection.
-bool InstanceCloses(uint16_t port, std::span<const std::byte> bytes) {
+// Sends bytes to the port of an instance, waits until it closes the connection,
+// and returns how many bytes it sent until then; nullopt when it never closes.
+std::optional<size_t> AnswerUntilClosed(uint16_t port,
+                                        std::span<const std::byte> bytes) {
   const FileDescriptor socket =
       StartDial({"127.0.0.1", port}, {"127.0.0.1", 0}).value();
-  return WaitUntil([&, sent = false]() mutable {
+  bool sent = false;
+  size_t received = 0;
+  const bool closed = WaitUntil([&] {
     pollfd ready = {socket.number(), POLLOUT, 0};
     if (!sent && poll(&ready, 1, 0) == 1) {
       sent = send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
@@ -37,8 +42,10 @@
     std::array<std::byte, 4096> buffer;
     const ssize_t count =
         recv(socket.number(), buffer.data(), buffer.size(), 0);
+    received += count > 0 ? static_cast<size_t>(count) : 0;
     return sent && (count == 0 || (count < 0 && errno == ECONNRESET));
   });
+  return closed ? std::optional(received) : std::nullopt;
 }
 
 TEST_GROUP(PeerLink){};
@@ -105,13 +112,23 @@
   PeerPair pair;
   CHECK(pair.alpha().Start().has_value());
   const uint16_t port = pair.alpha().ListenPort();
-  CHECK(InstanceCloses(port, AsBytes("GET / HTTP/1.1\r\n\r\n")));
-  CHECK(InstanceCloses(port, EncodeHeartbeat()));
-  CHECK(InstanceCloses(port, EncodeHello("cluster", {"gamma", "s", "s"})));
+  const auto is_cut_off = [port](std::span<const std::byte> bytes) {
+    return AnswerUntilClosed(port, bytes).has_value();
+  };
+  CHECK(is_cut_off(AsBytes("GET / HTTP/1.1\r\n\r\n")));
+  CHECK(is_cut_off(EncodeHeartbeat()));
+  CHECK(is_cut_off(EncodeHello("cluster", {"gamma", "s", "s"})));
   const std::string too_long(kMaximumHelloBytes, 'x');
-  CHECK(InstanceCloses(port, EncodeHello(too_long, {"beta", "s", "s"})));
-  // No hello at all.
-  CHECK(InstanceCloses(port, AsBytes("x")));
+  CHECK(is_cut_off(EncodeHello(too_long, {"beta", "s", "s"})));
+}
+
+// Guards against a connection that is held without a hello, and against
+// heartbeats before the hello, which a slow peer would take for a fault.
+TEST(PeerLink, WithoutHelloTheConnectionIsClosedInSilence) {
+  PeerPair pair;
+  CHECK(pair.alpha().Start().has_value());
+  CHECK(AnswerUntilClosed(pair.alpha().ListenPort(), AsBytes("x")) ==
+        std::optional<size_t>(0));
 }
 
 // Guards against a queue that grows without limit behind a peer that does not
