Bramleyctl: Leave time for other servers behind a silent one

Cause: one server that accepted a connection and never answered could use up the time limit, and a try was started even after the limit had passed.

Change: a try lasts at most half of the remaining time and 5 s, and none starts after the limit. The test of the watch cursor now also checks that a heartbeat of an instance that lags behind does not move the place backwards.

Conclusion: a change or read reaches a working server while one is silent.

--- a/packages/bramleyctl/server_client.cc
+++ b/packages/bramleyctl/server_client.cc
@@ -171,27 +171,27 @@
                                 const std::string& path,
                                 const std::string& body) {
   const MonotonicTime deadline = std::chrono::steady_clock::now() + time_limit_;
+  const auto remaining = [deadline] {
+    return std::chrono::ceil<Milliseconds>(deadline -
+                                           std::chrono::steady_clock::now());
+  };
   bool may_have_run = false;
   std::string problem;
-  while (true) {
-    for (size_t i = 0; i < servers_.size(); ++i) {
-      const auto remaining = std::chrono::ceil<Milliseconds>(
-          deadline - std::chrono::steady_clock::now());
-      const Milliseconds limit =
-          std::clamp(remaining / 2, Milliseconds(1), kLongestTry);
-      const size_t index = (current_ + i) % servers_.size();
-      Attempt attempt = TryServer(servers_[index], method, path, body, limit);
-      if (attempt.answer.has_value()) {
-        current_ = index;
-        return std::move(*attempt.answer);
-      }
-      may_have_run = may_have_run || attempt.may_have_run;
-      problem = absl::StrCat(ToString(servers_[index]), ": ", attempt.problem);
+  const size_t first = current_;
+  for (size_t i = 0; i == 0 || remaining() > Milliseconds(0); ++i) {
+    if (i > 0 && i % servers_.size() == 0) {
+      std::this_thread::sleep_for(std::min(remaining(), kPauseBetweenRounds));
     }
-    if (std::chrono::steady_clock::now() + kPauseBetweenRounds >= deadline) {
-      break;
+    const size_t index = (first + i) % servers_.size();
+    const Milliseconds limit =
+        std::clamp(remaining() / 2, Milliseconds(1), kLongestTry);
+    Attempt attempt = TryServer(servers_[index], method, path, body, limit);
+    if (attempt.answer.has_value()) {
+      current_ = index;
+      return std::move(*attempt.answer);
     }
-    std::this_thread::sleep_for(kPauseBetweenRounds);
+    may_have_run = may_have_run || attempt.may_have_run;
+    problem = absl::StrCat(ToString(servers_[index]), ": ", attempt.problem);
   }
   if (may_have_run && method != Method::kGet) {
     return MakeError(ErrorKind::kOutcomeUnknown,
--- a/packages/bramleyctl/tests/watch_test.cc
+++ b/packages/bramleyctl/tests/watch_test.cc
@@ -55,6 +55,7 @@
   CHECK(step(Change(12, "b")) == WatchCursor::Step::kContinue);
   cursor.StartStream();
   CHECK(step(Mark("heartbeat", 9)) == WatchCursor::Step::kContinue);
+  LONGS_EQUAL(11, cursor.resume_revision());
   CHECK(step(Change(12, "b")) == WatchCursor::Step::kContinue);
   CHECK(step(Change(12, "c")) == WatchCursor::Step::kContinue);
   CHECK(step(Change(12, "d")) == WatchCursor::Step::kShow);
