--- a/packages/bramleyraild/status_reporter.cc
+++ b/packages/bramleyraild/status_reporter.cc
@@ -97,10 +97,10 @@
                              if (!answer) {
                                return;
                              }
-                             Json status =
-                                 Json::from_cbor(answer.value(), true, false);
-                             if (status.is_object()) {
-                               collection->answers[name] = std::move(status);
+                             auto status = DecodeInstanceStatus(answer.value());
+                             if (status) {
+                               collection->answers[name] =
+                                   std::move(status).value();
                              }
                            });
   }
--- a/packages/operator/bounded_task_queue.cc
+++ b/packages/operator/bounded_task_queue.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-BoundedTaskQueue::BoundedTaskQueue(size_t threads, size_t queue)
+OperatorTaskQueue::OperatorTaskQueue(size_t threads, size_t queue)
     : thread_count_(threads), queue_limit_(queue) {
   for (size_t i = 0; i < threads; ++i) {
     threads_.emplace_back([this] { RunConnections(); });
@@ -22,15 +22,15 @@
   threads_.emplace_back([this] { RejectConnections(); });
 }
 
-bool BoundedTaskQueue::IsRejecting() {
+bool OperatorTaskQueue::IsRejecting() {
   return rejecting;
 }
 
-bool BoundedTaskQueue::HasRoom() const {
+bool OperatorTaskQueue::HasRoom() const {
   return busy_threads_ + queue_.size() < thread_count_ + queue_limit_;
 }
 
-void BoundedTaskQueue::enqueue(std::function<void()> connection) {
+void OperatorTaskQueue::enqueue(std::function<void()> connection) {
   const absl::MutexLock lock(&mutex_);
   const auto can_take = [this] {
     return HasRoom() || rejected_.size() < kMaximumRejected;
@@ -40,7 +40,7 @@
   connections.push_back(std::move(connection));
 }
 
-void BoundedTaskQueue::RunConnections() {
+void OperatorTaskQueue::RunConnections() {
   const auto has_work = [this] { return stopping_ || !queue_.empty(); };
   const absl::MutexLock lock(&mutex_);
   while (true) {
@@ -59,7 +59,7 @@
   }
 }
 
-void BoundedTaskQueue::RejectConnections() {
+void OperatorTaskQueue::RejectConnections() {
   rejecting = true;
   const auto has_work = [this] { return stopping_ || !rejected_.empty(); };
   const absl::MutexLock lock(&mutex_);
@@ -77,7 +77,7 @@
   }
 }
 
-void BoundedTaskQueue::shutdown() {
+void OperatorTaskQueue::shutdown() {
   {
     const absl::MutexLock lock(&mutex_);
     stopping_ = true;
--- a/packages/operator/bounded_task_queue.h
+++ b/packages/operator/bounded_task_queue.h
@@ -13,9 +13,9 @@
 
 // Thread pool of an HTTP server with a short queue. Connections beyond the
 // queue go to a thread that only rejects them; see IsRejecting().
-class BoundedTaskQueue : public httplib::TaskQueue {
+class OperatorTaskQueue : public httplib::TaskQueue {
  public:
-  BoundedTaskQueue(size_t threads, size_t queue);
+  OperatorTaskQueue(size_t threads, size_t queue);
 
   void enqueue(std::function<void()> connection) override;
   void shutdown() override;
--- a/packages/operator/http_answer.cc
+++ b/packages/operator/http_answer.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-int HttpStatusOf(ErrorKind kind) {
+int OperatorHttpStatusOf(ErrorKind kind) {
   switch (kind) {
     case ErrorKind::kInvalidArgument:
       return 400;
@@ -59,7 +59,7 @@
     body["not_run"] = true;
   }
   body.update(extra);
-  response.status = HttpStatusOf(error.kind);
+  response.status = OperatorHttpStatusOf(error.kind);
   response.set_content(Dump(body), kJsonType);
 }
 
--- a/packages/operator/http_answer.h
+++ b/packages/operator/http_answer.h
@@ -7,7 +7,7 @@
 
 namespace bramleyrail {
 
-int HttpStatusOf(ErrorKind kind);
+int OperatorHttpStatusOf(ErrorKind kind);
 
 // {"kind", "message", "remedy", "faults"}
 Json ErrorToJson(const Error& error);
--- a/packages/operator/instance_status.cc
+++ b/packages/operator/instance_status.cc
@@ -40,7 +40,7 @@
   const auto role = builder.CreateString(status.role);
   const auto leader = builder.CreateString(status.leader);
   const auto fault = builder.CreateString(status.fault);
-  wire::StatusBuilder table(builder);
+  status_wire::StatusBuilder table(builder);
   table.add_name(name);
   table.add_failure_domain(failure_domain);
   table.add_region(region);
@@ -60,12 +60,12 @@
 Result<InstanceStatus> DecodeInstanceStatus(std::span<const std::byte> data) {
   const auto* bytes = reinterpret_cast<const uint8_t*>(data.data());
   flatbuffers::Verifier verifier(bytes, data.size());
-  if (!verifier.VerifyBuffer<wire::Status>(nullptr)) {
+  if (!verifier.VerifyBuffer<status_wire::Status>(nullptr)) {
     return MakeError(ErrorKind::kDataLoss,
                      "an instance status cannot be decoded",
                      "check that every instance runs a compatible version");
   }
-  const auto* table = flatbuffers::GetRoot<wire::Status>(bytes);
+  const auto* table = flatbuffers::GetRoot<status_wire::Status>(bytes);
   InstanceStatus status;
   status.name = table->name()->str();
   status.failure_domain = table->failure_domain()->str();
--- a/packages/operator/operator_events.h
+++ b/packages/operator/operator_events.h
@@ -19,8 +19,8 @@
     7006, LogSeverity::kWarning, "operator_change_unconfirmed"};
 inline constexpr LogEventDefinition kOverloaded = {
     7007, LogSeverity::kWarning, "operator_server_overloaded"};
-inline constexpr LogEventDefinition kWatchOpened = {7008, LogSeverity::kInfo,
-                                                    "operator_watch_opened"};
+inline constexpr LogEventDefinition kOperatorWatchOpened = {
+    7008, LogSeverity::kInfo, "operator_watch_opened"};
 inline constexpr LogEventDefinition kWatchClosed = {7009, LogSeverity::kInfo,
                                                     "operator_watch_closed"};
 inline constexpr LogEventDefinition kHandlerFailed = {
@@ -28,7 +28,7 @@
 
 inline constexpr LogEventDefinition kAll[] = {
     kServerStarted, kServerDraining,    kServerStopped, kChangeAccepted,
-    kChangeRefused, kChangeUnconfirmed, kOverloaded,    kWatchOpened,
+    kChangeRefused, kChangeUnconfirmed, kOverloaded,    kOperatorWatchOpened,
     kWatchClosed,   kHandlerFailed};
 
 }  // namespace bramleyrail::operator_events
--- a/packages/operator/operator_server.cc
+++ b/packages/operator/operator_server.cc
@@ -61,7 +61,7 @@
 // large.
 void AnswerWithoutBody(const httplib::Request& request,
                        httplib::Response& response) {
-  if (!response.body.empty() || BoundedTaskQueue::IsRejecting()) {
+  if (!response.body.empty() || OperatorTaskQueue::IsRejecting()) {
     return;
   }
   const int status = response.status;
@@ -98,7 +98,7 @@
 
 void Configure(httplib::Server& server, size_t threads, size_t queue) {
   server.new_task_queue = [threads, queue] {
-    return new BoundedTaskQueue(threads, queue);
+    return new OperatorTaskQueue(threads, queue);
   };
   // The default of httplib also sets SO_REUSEPORT, with which a second process
   // could take the port over unnoticed.
@@ -113,7 +113,7 @@
   server.set_payload_max_length(kMaximumBodyBytes);
   server.set_pre_routing_handler(
       [](const httplib::Request& request, httplib::Response& response) {
-        if (!BoundedTaskQueue::IsRejecting()) {
+        if (!OperatorTaskQueue::IsRejecting()) {
           return httplib::Server::HandlerResponse::Unhandled;
         }
         Reject(request, response);
@@ -293,7 +293,7 @@
 
   auto stream = std::make_shared<WatchStream>(
       options_, &draining_, watch.value().after_revision, watch.value().kinds);
-  LogEvent(operator_events::kWatchOpened,
+  LogEvent(operator_events::kOperatorWatchOpened,
            {{"client", request.remote_addr},
             {"after_revision", watch.value().after_revision}});
   response.set_chunked_content_provider(
--- a/packages/operator/status_generated.h
+++ b/packages/operator/status_generated.h
@@ -15,7 +15,7 @@
              "Non-compatible flatbuffers version included");
 
 namespace bramleyrail {
-namespace wire {
+namespace status_wire {
 
 struct Status;
 struct StatusBuilder;
@@ -185,7 +185,7 @@
   auto role__ = role ? _fbb.CreateString(role) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto fault__ = fault ? _fbb.CreateString(fault) : 0;
-  return bramleyrail::wire::CreateStatus(
+  return bramleyrail::status_wire::CreateStatus(
       _fbb,
       name__,
       failure_domain__,
@@ -199,37 +199,37 @@
       fault__);
 }
 
-inline const bramleyrail::wire::Status *GetStatus(const void *buf) {
-  return flatbuffers::GetRoot<bramleyrail::wire::Status>(buf);
+inline const bramleyrail::status_wire::Status *GetStatus(const void *buf) {
+  return flatbuffers::GetRoot<bramleyrail::status_wire::Status>(buf);
 }
 
-inline const bramleyrail::wire::Status *GetSizePrefixedStatus(const void *buf) {
-  return flatbuffers::GetSizePrefixedRoot<bramleyrail::wire::Status>(buf);
+inline const bramleyrail::status_wire::Status *GetSizePrefixedStatus(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<bramleyrail::status_wire::Status>(buf);
 }
 
 inline bool VerifyStatusBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<bramleyrail::wire::Status>(nullptr);
+  return verifier.VerifyBuffer<bramleyrail::status_wire::Status>(nullptr);
 }
 
 inline bool VerifySizePrefixedStatusBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<bramleyrail::wire::Status>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<bramleyrail::status_wire::Status>(nullptr);
 }
 
 inline void FinishStatusBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::Status> root) {
+    flatbuffers::Offset<bramleyrail::status_wire::Status> root) {
   fbb.Finish(root);
 }
 
 inline void FinishSizePrefixedStatusBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<bramleyrail::wire::Status> root) {
+    flatbuffers::Offset<bramleyrail::status_wire::Status> root) {
   fbb.FinishSizePrefixed(root);
 }
 
-}  // namespace wire
+}  // namespace status_wire
 }  // namespace bramleyrail
 
 #endif  // FLATBUFFERS_GENERATED_STATUS_BRAMLEYRAIL_WIRE_H_
--- a/packages/peer/connection.cc
+++ b/packages/peer/connection.cc
@@ -60,11 +60,11 @@
   if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
     TRY(Receive(now, handler));
   }
-  if (now - last_received_ >= kSilenceLimit) {
-    return MakeError(
-        ErrorKind::kUnavailable,
-        absl::StrCat("nothing was received for ", kSilenceLimit.count(), " ms"),
-        "check the peer and the network path to it");
+  if (now - last_received_ >= kPeerSilenceLimit) {
+    return MakeError(ErrorKind::kUnavailable,
+                     absl::StrCat("nothing was received for ",
+                                  kPeerSilenceLimit.count(), " ms"),
+                     "check the peer and the network path to it");
   }
   if (outbox_->overflowed()) {
     return MakeError(ErrorKind::kResourceExhausted,
@@ -73,8 +73,9 @@
   }
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + kPeerHeartbeatInterval;
+    // Nothing may come before the hello, and the wait for it is limited anyway.
     // Queued frames keep the connection alive by themselves.
-    if (outbox_->empty()) {
+    if (peer_ != nullptr && outbox_->empty()) {
       outbox_->PushControl(EncodeHeartbeat());
     }
   }
@@ -151,7 +152,7 @@
 }
 
 MonotonicTime Connection::NextDeadline() const {
-  return std::min(next_heartbeat_, last_received_ + kSilenceLimit);
+  return std::min(next_heartbeat_, last_received_ + kPeerSilenceLimit);
 }
 
 void Connection::CountSent(uint64_t bytes) {
--- a/packages/peer/connection.h
+++ b/packages/peer/connection.h
@@ -35,7 +35,7 @@
   void AcceptHello(PeerRecord* peer, MonotonicTime now);
 
   // Handles the events of the socket and what is due: reads, writes, sends a
-  // heartbeat, fails with kUnavailable after kSilenceLimit without input.
+  // heartbeat, fails with kUnavailable after kPeerSilenceLimit without input.
   Result<void> Advance(MonotonicTime now, const EnvelopeHandler& handler);
   // Writes what the socket takes at once.
   Result<void> Flush();
--- a/packages/peer/incoming_link.cc
+++ b/packages/peer/incoming_link.cc
@@ -37,17 +37,17 @@
     Close(outcome.error());
     return;
   }
-  if (peer_ == nullptr && now - accepted_at_ >= kSilenceLimit) {
+  if (peer_ == nullptr && now - accepted_at_ >= kPeerSilenceLimit) {
     Close(MakeError(
         ErrorKind::kUnavailable,
-        absl::StrCat("no hello within ", kSilenceLimit.count(), " ms"),
+        absl::StrCat("no hello within ", kPeerSilenceLimit.count(), " ms"),
         "check what connects to the port for peers"));
   }
 }
 
 MonotonicTime IncomingLink::NextDeadline() const {
   const MonotonicTime deadline = connection_->NextDeadline();
-  return peer_ == nullptr ? std::min(deadline, accepted_at_ + kSilenceLimit)
+  return peer_ == nullptr ? std::min(deadline, accepted_at_ + kPeerSilenceLimit)
                           : deadline;
 }
 
--- a/packages/peer/outgoing_link.cc
+++ b/packages/peer/outgoing_link.cc
@@ -109,7 +109,7 @@
       return next_dial_;
     case State::kConnecting:
     case State::kGreeting:
-      return phase_started_ + kSilenceLimit;
+      return phase_started_ + kPeerSilenceLimit;
     case State::kReady:
       break;
   }
@@ -152,10 +152,10 @@
                                return HandleEnvelope(envelope, now);
                              }));
   }
-  if (state_ != State::kReady && now - phase_started_ >= kSilenceLimit) {
+  if (state_ != State::kReady && now - phase_started_ >= kPeerSilenceLimit) {
     return MakeError(ErrorKind::kUnavailable,
                      absl::StrCat("no connection and hello within ",
-                                  kSilenceLimit.count(), " ms"),
+                                  kPeerSilenceLimit.count(), " ms"),
                      "check the peer and the network path to it");
   }
   return Success();
@@ -228,7 +228,7 @@
 
 void OutgoingLink::Close(const Error& error, MonotonicTime now) {
   const bool was_ready = state_ == State::kReady;
-  const bool was_in_use = was_ready && now - phase_started_ >= kSilenceLimit;
+  const bool was_in_use = was_ready && now - phase_started_ >= kPeerSilenceLimit;
   failed_dials_ = was_in_use ? 0 : failed_dials_ + 1;
   LogClose(error);
   peer_->SetConnected(false);
--- a/packages/peer/peer_limits.h
+++ b/packages/peer/peer_limits.h
@@ -28,11 +28,11 @@
 inline constexpr Milliseconds kPeerHeartbeatInterval{500};
 // A connection on which nothing was received for this long is closed. It also
 // limits connecting and the exchange of hellos.
-inline constexpr Milliseconds kSilenceLimit{2000};
+inline constexpr Milliseconds kPeerSilenceLimit{2000};
 
 // Delay before a redial: random between half and all of a value that starts at
 // the minimum and doubles up to the maximum. It starts over after a connection
-// that was in use for at least kSilenceLimit.
+// that was in use for at least kPeerSilenceLimit.
 inline constexpr Milliseconds kMinimumRedialDelay{50};
 inline constexpr Milliseconds kMaximumRedialDelay{2000};
 
--- a/packages/storage/posix_disk.cc
+++ b/packages/storage/posix_disk.cc
@@ -23,7 +23,7 @@
 Result<void> SyncFolderAt(const std::string& path) {
   const FileDescriptor folder(
       open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (!folder.is_valid() || fsync(folder.get()) != 0) {
+  if (!folder.is_open() || fsync(folder.number()) != 0) {
     return MakePosixError("sync folder", path);
   }
   return Success();
@@ -44,10 +44,10 @@
   const std::string path = folder + "/" + kLockName;
   FileDescriptor lock(
       open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode));
-  if (!lock.is_valid()) {
+  if (!lock.is_open()) {
     return MakePosixError("open", path);
   }
-  if (flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
+  if (flock(lock.number(), LOCK_EX | LOCK_NB) != 0) {
     return MakeError(ErrorKind::kFailedPrecondition,
                      "another process uses the data folder '" + folder + "'",
                      "stop that process, or name another data folder");
@@ -75,14 +75,14 @@
   const std::string path = PathOf(name);
   const FileDescriptor file(open(path.c_str(), O_RDONLY | O_CLOEXEC));
   struct stat status {};
-  if (!file.is_valid() || fstat(file.get(), &status) != 0) {
+  if (!file.is_open() || fstat(file.number(), &status) != 0) {
     return MakePosixError("open", path);
   }
   std::vector<std::byte> data(static_cast<size_t>(status.st_size));
   size_t position = 0;
   while (position < data.size()) {
     const ssize_t count =
-        read(file.get(), data.data() + position, data.size() - position);
+        read(file.number(), data.data() + position, data.size() - position);
     if (count < 0 && errno == EINTR) {
       continue;
     }
@@ -112,7 +112,7 @@
   std::string path = PathOf(name);
   FileDescriptor file(
       open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, kFileMode));
-  if (!file.is_valid()) {
+  if (!file.is_open()) {
     return MakePosixError("open", path);
   }
   return std::unique_ptr<DiskFile>(
@@ -122,9 +122,9 @@
 Result<void> PosixDisk::Truncate(std::string_view name, uint64_t size) {
   const std::string path = PathOf(name);
   const FileDescriptor file(open(path.c_str(), O_WRONLY | O_CLOEXEC));
-  if (!file.is_valid() ||
-      ftruncate(file.get(), static_cast<off_t>(size)) != 0 ||
-      fsync(file.get()) != 0) {
+  if (!file.is_open() ||
+      ftruncate(file.number(), static_cast<off_t>(size)) != 0 ||
+      fsync(file.number()) != 0) {
     return MakePosixError("truncate", path);
   }
   return Success();
