Caller: Count a forwarded request's wait; show that the checks fail

Cause: a forwarded request that waited for a thread of its owner kept its full remaining time. Two checks did not fail for the fault they guard against, and several had not been seen to fail.

Change: subtracts the wait. Adds the state "not_run" with a silent peer to the test of request states, and lets the test of a full pool fail with a message.

--- a/packages/caller/pending_result.h
+++ b/packages/caller/pending_result.h
@@ -26,8 +26,8 @@
   // nullopt when nothing came in time.
   std::optional<Result<T>> Wait(Milliseconds timeout) {
     absl::MutexLock lock(&mutex_);
-    mutex_.AwaitWithTimeout(absl::Condition(&is_set_),
-                            absl::Milliseconds(timeout.count()));
+    const absl::Condition is_set(&is_set_);
+    mutex_.AwaitWithTimeout(is_set, absl::Milliseconds(timeout.count()));
     return std::move(result_);
   }
 
--- a/packages/caller/request_plane.cc
+++ b/packages/caller/request_plane.cc
@@ -276,8 +276,9 @@
                                 ? forward_pool_
                                 : query_pool_;
   const bool taken =
-      pool.TrySubmit([this, peer = std::string(peer), message, answer] {
-        HandleCall(peer, *message, answer);
+      pool.TrySubmit([this, peer = std::string(peer), message, answer,
+                      arrival = std::chrono::steady_clock::now()] {
+        HandleCall(peer, *message, arrival, answer);
       });
   if (!taken) {
     answer(PoolFullError());
@@ -286,10 +287,15 @@
 
 void RequestPlane::HandleCall(const std::string& peer,
                               const RoutingMessage& message,
+                              MonotonicTime arrival,
                               const PeerAnswerCallback& answer) {
-  if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
+  if (const auto* forwarded = std::get_if<ForwardedRequest>(&message)) {
     forwarded_in_progress_.fetch_add(1);
-    answer(EncodeRoutingMessage(runner_.Run(*request, peer)));
+    ForwardedRequest request = *forwarded;
+    // The request may have waited for a thread.
+    request.remaining -= std::chrono::ceil<Milliseconds>(
+        std::chrono::steady_clock::now() - arrival);
+    answer(EncodeRoutingMessage(runner_.Run(request, peer)));
     forwarded_in_progress_.fetch_sub(1);
   } else if (const auto* query = std::get_if<RequestStateQuery>(&message)) {
     answer(EncodeRoutingMessage(lookup_.OwnRecords(query->request_id)));
--- a/packages/caller/request_plane.h
+++ b/packages/caller/request_plane.h
@@ -106,6 +106,7 @@
   void HandleMessage(const std::string& peer, const RoutingMessage& message);
   void HandleCall(const std::string& peer,
                   const RoutingMessage& message,
+                  MonotonicTime arrival,
                   const PeerAnswerCallback& answer);
   void OpenWatchFor(const std::string& peer,
                     const WatchOpen& watch,
--- a/packages/caller/tests/request_path_test.cc
+++ b/packages/caller/tests/request_path_test.cc
@@ -141,10 +141,10 @@
   cluster.Send(0, "echo", R"({"x":"first"})", kIdempotent);
   LONGS_EQUAL(504,
               cluster
-                  .Send(0, "echo", R"({"sleep_ms":200,"x":"late"})",
-                        {{kIdempotentHeader, "true"}, {kTimeoutHeader, "50"}})
+                  .Send(0, "echo", R"({"sleep_ms":900,"x":"late"})",
+                        {{kIdempotentHeader, "true"}, {kTimeoutHeader, "300"}})
                   .status);
-  for (int i = 0; i < 20; ++i) {
+  for (int i = 0; i < 40; ++i) {
     const Json body = {{"sleep_ms", 20}, {"x", i}};
     const TestCluster::Answer answer =
         cluster.Send(0, "echo", body.dump(), kIdempotent);
@@ -242,10 +242,21 @@
   const TestCluster::Answer seen = cluster.State(1, "known");
   STRCMP_EQUAL("completed", seen.json["state"].get<std::string>().c_str());
   LONGS_EQUAL(404, cluster.State(1, "other").status);
+  // Not run here, but an instance that does not answer may have run it.
+  cluster.Send(1, "none", "{}",
+               {{kIdempotentHeader, "true"},
+                {kTimeoutHeader, "100"},
+                {kRequestIdHeader, "refused"}});
+  STRCMP_EQUAL(
+      "not_run",
+      cluster.State(1, "refused").json["state"].get<std::string>().c_str());
   cluster.SetLink(TestCluster::Link::kDown);
   const TestCluster::Answer cut = cluster.State(1, "known");
   STRCMP_EQUAL("unknown", cut.json["state"].get<std::string>().c_str());
   CHECK(!cut.json["peers"][0]["answered"].get<bool>());
+  STRCMP_EQUAL(
+      "unknown",
+      cluster.State(1, "refused").json["state"].get<std::string>().c_str());
 }
 
 }  // namespace
--- a/packages/caller/watch_relay.cc
+++ b/packages/caller/watch_relay.cc
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-WatchRelay::WatchRelay(Options options)
-    : options_(std::move(options)), pool_({options_.maximum_watches, 0}) {}
+WatchRelay::WatchRelay(const Options& options)
+    : options_(options), pool_({options_.maximum_watches, 0}) {}
 
 void WatchRelay::Open(const WatchOpen& watch, Sink sink) {
   if (draining_.load()) {
--- a/packages/caller/watch_relay.h
+++ b/packages/caller/watch_relay.h
@@ -34,7 +34,7 @@
     std::function<void(int64_t position, std::string reason)> end;
   };
 
-  explicit WatchRelay(Options options);
+  explicit WatchRelay(const Options& options);
 
   // Starts a watch on a thread of its own.
   void Open(const WatchOpen& watch, Sink sink);
--- a/packages/target/target_client.cc
+++ b/packages/target/target_client.cc
@@ -81,10 +81,11 @@
 
   bool Add(std::string_view data) {
     pending_.append(data);
+    const std::string_view pending = pending_;
     size_t begin = 0;
     for (size_t end = pending_.find('\n'); end != std::string::npos;
          end = pending_.find('\n', begin)) {
-      if (!on_line_(std::string_view(pending_).substr(begin, end - begin))) {
+      if (!on_line_(pending.substr(begin, end - begin))) {
         return false;
       }
       begin = end + 1;
--- a/packages/target/tests/target_server_test.cc
+++ b/packages/target/tests/target_server_test.cc
@@ -89,7 +89,9 @@
   absl::Notification release;
   HttpServer server({.name = "test", .maximum_threads = 1, .maximum_queue = 0});
   server.Post("/work", [&](const httplib::Request&, httplib::Response& answer) {
-    started.Notify();
+    if (!started.HasBeenNotified()) {
+      started.Notify();
+    }
     release.WaitForNotification();
     answer.status = 200;
   });
