Replication: Check the lease after a restart and a transfer

Three breaks went unseen: a lease without the margin for clocks, a vote right after a restart, and a transfer that keeps the lease.

--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -160,9 +160,12 @@
 // Guards against a leader that goes on acting after it lost its quorum, at
 // clock rates that differ by 5%.
 TEST(Simulation, CutOffLeaderStepsDownBeforeAnotherLeads) {
-  for (uint64_t seed = 1; seed <= 100; ++seed) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    // Links are fast, so that the next leader is elected as early as its
+    // timers allow.
     ClusterSimulation simulation({.voters = ThreeVoters(),
                                   .seed = seed,
+                                  .maximum_delay = Milliseconds(2),
                                   .clock_rate_difference = 0.025});
     CHECK(simulation.RunUntilLeader());
     const std::string old_leader = simulation.Leader();
@@ -181,6 +184,28 @@
   }
 }
 
+// Guards against a replica that forgets with its restart that it heard from a
+// leader, and helps to elect another one while the lease still runs.
+TEST(Simulation, RestartedFollowerDoesNotVoteDuringTheLease) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation({.voters = ThreeVoters(),
+                                  .seed = seed,
+                                  .maximum_delay = Milliseconds(2)});
+    CHECK(simulation.RunUntilLeader());
+    const std::string leader = simulation.Leader();
+    const std::string candidate = leader == "a" ? "b" : "a";
+    const std::string follower = leader == "c" ? "b" : "c";
+    simulation.CutLink(leader, candidate);
+    simulation.CutLink(candidate, leader);
+    for (int restart = 0; restart < 100; ++restart) {
+      simulation.RunFor(Milliseconds(100));
+      simulation.Crash(follower, 0, false);
+      simulation.Restart(follower);
+    }
+    CheckSafe(simulation);
+  }
+}
+
 // Guards against a paused leader that acts on a lease that ran out while it
 // did not run.
 TEST(Simulation, PausedLeaderDoesNotActAfterItsLease) {
@@ -253,6 +278,24 @@
   CheckSafe(simulation);
 }
 
+// Guards against an old leader that keeps its lease after the transfer, whose
+// campaign disregards leases.
+TEST(Simulation, TransferGivesUpTheLeaseAtOnce) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 7});
+  CHECK(simulation.RunUntilLeader());
+  CHECK(simulation.RunUntilConverged());
+  simulation.RunFor(Milliseconds(500));
+  const std::string old_leader = simulation.Leader();
+  for (const std::string& name : ThreeVoters()) {
+    simulation.CutLink(name, old_leader);
+  }
+  simulation.TransferLeadership(old_leader);
+  simulation.RunFor(Milliseconds(300));
+  CHECK(!simulation.Leader().empty());
+  CHECK(simulation.Leader() != old_leader);
+  CheckSafe(simulation);
+}
+
 // Guards against a replica that still votes or acknowledges after its disk
 // failed, and against an instance that stops with it.
 TEST(Simulation, InstanceWithAFailedDiskContinuesAsAnObserver) {
--- a/packages/storage/tests/replica_store_test.cc
+++ b/packages/storage/tests/replica_store_test.cc
@@ -163,6 +163,20 @@
   }
 }
 
+// Guards against entries that are appended with a gap to the log before a
+// snapshot from the leader, when a crash kept its new segment from being
+// written. The simulation found this: the second restart was refused.
+TEST(ReplicaStore, LogContinuesAfterASnapshotWithoutItsSegment) {
+  auto store = StoreWith(3);
+  disk_->successful_calls = 5;  // The snapshot and its name, and no more.
+  CHECK(store->SaveSnapshot({50, 3, {}, Bytes(10)}, {}).has_error());
+  disk_ = disk_->Crash(0, false);
+  AppendThrough(*ReplicaStore::Open(disk_).value(), 51, 52);
+  const RecoveredState state = Reopen();
+  LONGS_EQUAL(50, state.snapshot->index);
+  LONGS_EQUAL(2, state.entries.size());
+}
+
 // Guards against a restart that reads the whole history.
 TEST(ReplicaStore, RecoveryReadsOnlyWhatFollowsTheSnapshot) {
   auto store = StoreWith(1000);
