--- a/packages/platform/bounded_task_queue.cc
+++ b/packages/platform/bounded_task_queue.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 BoundedTaskQueue::BoundedTaskQueue(size_t thread_count, size_t queue_limit)
-    : queue_limit_(queue_limit) {
+    : connection_limit_(thread_count + queue_limit) {
   threads_.reserve(thread_count + 1);
   for (size_t i = 0; i < thread_count; ++i) {
     threads_.emplace_back([this] { Run(&jobs_); });
@@ -30,7 +30,7 @@
 
 void BoundedTaskQueue::enqueue(std::function<void()> job) {
   absl::MutexLock lock(&mutex_);
-  if (jobs_.size() < idle_threads_ + queue_limit_) {
+  if (busy_threads_ + jobs_.size() < connection_limit_) {
     jobs_.push_back(std::move(job));
     return;
   }
@@ -52,23 +52,24 @@
 }
 
 void BoundedTaskQueue::Run(Jobs* jobs) {
-  const bool counts_as_idle = !refusing;
+  const size_t counted = refusing ? 0 : 1;
   while (true) {
     std::function<void()> job;
     {
       absl::MutexLock lock(&mutex_);
       const auto has_job = [this, jobs]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(
                                mutex_) { return !jobs->empty() || stopping_; };
-      idle_threads_ += counts_as_idle ? 1 : 0;
       mutex_.Await(absl::Condition(&has_job));
-      idle_threads_ -= counts_as_idle ? 1 : 0;
       if (jobs->empty()) {
         return;
       }
       job = std::move(jobs->front());
       jobs->pop_front();
+      busy_threads_ += counted;
     }
     job();
+    absl::MutexLock lock(&mutex_);
+    busy_threads_ -= counted;
   }
 }
 
--- a/packages/platform/bounded_task_queue.h
+++ b/packages/platform/bounded_task_queue.h
@@ -33,10 +33,10 @@
 
   void Run(Jobs* jobs);
 
-  const size_t queue_limit_;
+  const size_t connection_limit_;
   absl::Mutex mutex_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-  size_t idle_threads_ ABSL_GUARDED_BY(mutex_) = 0;
+  size_t busy_threads_ ABSL_GUARDED_BY(mutex_) = 0;
   Jobs jobs_ ABSL_GUARDED_BY(mutex_);
   Jobs refused_ ABSL_GUARDED_BY(mutex_);
   std::vector<std::thread> threads_;
--- a/packages/platform/platform_server.cc
+++ b/packages/platform/platform_server.cc
@@ -20,7 +20,7 @@
 namespace {
 
 // Thousands of attempts with checkpoints and messages fit.
-constexpr size_t kMaximumBodyBytes = 4 * 1024 * 1024;
+constexpr size_t kMaximumBodyBytes = size_t{4} * 1024 * 1024;
 
 // A worker polls again at once, so an idle connection belongs to none and must
 // not hold a thread of the pool.
