Placement: Add the placement policy and its tests

Cause: The controller placed by declared size on the least loaded worker and had no tests.

Change: The default policy scores a sample of 16 workers out of the index by free capacity. Sizes are estimated from usage (declared until 30 reports), pair interference is learned with confidence and forgetting, batch work leaves headroom and is not piled up beside services that it slows down. PressureRelief throttles, then checkpoints, then stops; Preemptor makes room for urgent work and services. ProbationTracker holds early failures back for up to 10 s and does not charge those of a worker that fails everything. A new leader took the first sight of a suspended worker for a report and resumed it; only reports count now. Attempts that a drain or a probation caught before their start are withdrawn.

--- a/packages/placement/controller.cc
+++ b/packages/placement/controller.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "packages/placement/baselines.h"
+#include "packages/placement/placement_events.h"
 #include "packages/placement/report_filter.h"
 
 namespace bramleyrail {
@@ -16,14 +16,15 @@
 // that the log stays free for starts.
 constexpr int kReconciledOwnersInStep = 16;
 
+// Reports lag by some seconds: what they measured ran beside the tasks that
+// the worker held then.
+constexpr Milliseconds kReportLag{5000};
+
 // Bounds memory when reports arrive while nobody calls Step. Workers repeat
 // their reports, so dropping the oldest loses nothing.
 constexpr size_t kMaximumReports = 10'000;
 
 Controller::Options WithDefaults(Controller::Options options) {
-  if (!options.policy) {
-    options.policy = MakeLeastLoadedPolicy();
-  }
   if (!options.new_uid) {
     options.new_uid = NewUniqueId;
   }
@@ -40,7 +41,10 @@
       fleet_(options_.headroom_permille),
       owners_(&fleet_),
       synchronizer_(&fleet_, &owners_),
-      placer_(&fleet_, &owners_, &synchronizer_, options_.policy),
+      scored_policy_(&interference_, options_.seed),
+      relief_(&fleet_, &owners_, &interference_),
+      preemptor_(&fleet_, &owners_),
+      placer_(&fleet_, &owners_, &synchronizer_, PlacerHooks()),
       gate_(kRetryInterval) {}
 
 void Controller::Observe(WorkerReport report) {
@@ -63,10 +67,19 @@
   for (const WorkerReport& report : TakeReports()) {
     if (monitor_.Contact(state, report, now, options_.new_uid, &bodies)) {
       ApplyReport(state, report, now, &bodies);
+      LearnUsage(state, report, now);
     }
   }
   monitor_.Step(state, now, &bodies);
+  probation_.Step(state, now, &bodies);
+  desired_.clear();
   placer_.Step(state, now, &bodies);
+  if (options_.eviction == Eviction::kOn) {
+    relief_.Step(state, now, &desired_);
+    preemptor_.Step(state, now, &desired_);
+  }
+  WithdrawUnstarted(state, now, &desired_);
+  ProposeDesired(state, std::move(desired_), &bodies);
   ReconcileOwners(state, now, &bodies);
 
   std::vector<Command> commands;
@@ -88,6 +101,14 @@
     if (!news) {
       continue;
     }
+    if (ProbationTracker::IsEarlyFailure(*news, held.ran_ms)) {
+      const Task* task = state.FindTask(news->task_id);
+      probation_.AddEarlyFailure(report, *news, task->owner.uid, now);
+      continue;
+    }
+    if (news->state == ReportedAttemptState::kCompleted) {
+      probation_.AddSuccess(report.worker);
+    }
     const std::string key =
         absl::StrCat("report ", news->task_id, " ", news->attempt, " ",
                      static_cast<int>(news->state), " ", news->checkpoint);
@@ -115,4 +136,123 @@
   }
 }
 
+TaskPlacer::Hooks Controller::PlacerHooks() {
+  TaskPlacer::Hooks hooks;
+  hooks.policy = options_.policy;
+  if (!hooks.policy) {
+    hooks.policy = [this](const PlacementRequest& request, const Fleet& fleet) {
+      return scored_policy_(request, fleet);
+    };
+  }
+  if (options_.size_source == SizeSource::kEstimate) {
+    hooks.estimate = [this](int32_t kind, const ResourceAmounts& declared) {
+      return estimator_.Estimate(kind, declared);
+    };
+  }
+  if (options_.eviction == Eviction::kOff) {
+    return hooks;
+  }
+  hooks.make_room = [this](const ClusterState& state,
+                           const PlacementRequest& request, size_t waiting,
+                           MonotonicTime now) {
+    MakeRoom(state, request, waiting, now);
+  };
+  return hooks;
+}
+
+bool Controller::IsSettled(uint32_t worker, MonotonicTime now) {
+  const int64_t count = fleet_.worker(worker).composition_count;
+  Composition& composition = compositions_[worker];
+  if (composition.count != count) {
+    composition = {count, now};
+  }
+  return now - composition.since >= kReportLag;
+}
+
+void Controller::LearnUsage(const ClusterState& state,
+                            const WorkerReport& report,
+                            MonotonicTime now) {
+  const auto worker = fleet_.FindWorker(report.worker);
+  if (!worker) {
+    return;
+  }
+  const bool settled = IsSettled(*worker, now);
+  const FleetWorker& fleet_worker = fleet_.worker(*worker);
+  for (const AttemptUsage& usage : report.usage) {
+    const Task* task = state.FindTask(usage.task_id);
+    if (task == nullptr || !task->HasLiveAttempt() ||
+        task->attempt != usage.attempt || task->worker != report.worker) {
+      continue;
+    }
+    const auto owner = owners_.Find(state, task->owner);
+    if (owner == nullptr) {
+      continue;
+    }
+    estimator_.Observe(owner->task_kind, owner->declared, usage.used);
+    if (usage.slowdown_permille == 0) {
+      continue;
+    }
+    if (settled) {
+      interference_.Observe(owner->task_kind, fleet_worker.kind_counts,
+                            usage.slowdown_permille, now);
+    }
+    if (owner->capacity_class == CapacityClass::kService) {
+      relief_.Observe(*worker, owner->task_kind, usage.slowdown_permille, now);
+    }
+  }
+}
+
+void Controller::MakeRoom(const ClusterState& state,
+                          const PlacementRequest& request,
+                          size_t waiting,
+                          MonotonicTime now) {
+  for (size_t plans = preemptor_.PlansFor(request.owner_uid); plans < waiting;
+       ++plans) {
+    if (!preemptor_.MakeRoom(state, request, now, &desired_)) {
+      return;
+    }
+  }
+}
+
+void Controller::WithdrawUnstarted(const ClusterState& state,
+                                   MonotonicTime now,
+                                   std::vector<DesiredAttempt>* changes) {
+  for (const auto& [name, worker] : state.worker_states()) {
+    // A suspended worker hears nothing; its attempts end with its lease.
+    const bool may_not_start =
+        !worker.suspended && !worker.task_ids.empty() &&
+        (worker.on_probation || state.IsWorkerDrained(name));
+    if (!may_not_start || !gate_.Allow(absl::StrCat("withdraw ", name), now)) {
+      continue;
+    }
+    for (const auto& task_id : worker.task_ids) {
+      const Task* task = state.FindTask(task_id);
+      if (task->reported == ReportedAttemptState::kAccepted &&
+          task->desired != DesiredAttemptState::kStop) {
+        changes->push_back({std::string(task_id), task->attempt,
+                            DesiredAttemptState::kStop,
+                            "the worker may not start it any more"});
+      }
+    }
+  }
+}
+
+void Controller::ProposeDesired(const ClusterState& state,
+                                std::vector<DesiredAttempt> changes,
+                                std::vector<CommandBody>* commands) {
+  for (const DesiredAttempt& change : changes) {
+    const Task* task = state.FindTask(change.task_id);
+    const std::string_view worker = task->worker;
+    LogEvent(kAttemptDesired,
+             {{"task", change.task_id},
+              {"attempt", change.attempt},
+              {"worker", worker},
+              {"desired", DesiredAttemptStateName(change.desired)},
+              {"reason", change.reason}});
+  }
+  if (!changes.empty()) {
+    commands->emplace_back(SetDesiredAttempts{std::move(changes)});
+  }
+}
+
 }  // namespace bramleyrail
--- a/packages/placement/fakes/simulated_cluster.cc
+++ b/packages/placement/fakes/simulated_cluster.cc
@@ -83,6 +83,16 @@
   running_on_.erase(task_id);
 }
 
+void SimulatedCluster::Reboot(const std::string& name) {
+  Worker& worker = workers_.at(name);
+  std::erase_if(running_on_,
+                [&](const auto& entry) { return entry.second == name; });
+  worker.attempts.clear();
+  worker.lease_end = {};
+  worker.permit_end = {};
+  worker.boot_id = absl::StrCat("boot-", next_id_++, "-", name);
+}
+
 void SimulatedCluster::Run(Milliseconds time) {
   proposed_.clear();
   const MonotonicTime end = now_ + time;
--- a/packages/placement/fakes/simulated_cluster.h
+++ b/packages/placement/fakes/simulated_cluster.h
@@ -51,6 +51,10 @@
 
   // Lets the time pass in controller steps of 50 ms. Workers poll every 500 ms.
   void Run(Milliseconds time);
+  // Hands a report to the controller, as a delayed poll would.
+  void Observe(WorkerReport report) { controller_->Observe(std::move(report)); }
+  // Ends what runs on the worker and gives it a new boot id.
+  void Reboot(const std::string& name);
   // The next step is made by a controller without knowledge.
   void ChangeLeader();
 
--- a/packages/placement/fleet.cc
+++ b/packages/placement/fleet.cc
@@ -79,7 +79,7 @@
   }
   RemoveFromIndex(index);
   for (const auto& [id, task] : worker.tasks) {
-    CountTask(worker, task, -1);
+    CountTask(&worker, task, -1);
   }
   if (worker.present && !is_new) {
     total_capacity_ -= worker.capacity;
@@ -96,7 +96,7 @@
   worker.usable = usable;
   worker.present = true;
   for (const auto& [id, task] : worker.tasks) {
-    CountTask(worker, task, 1);
+    CountTask(&worker, task, 1);
   }
   AddToIndex(index);
   ++release_count_;
@@ -133,11 +133,12 @@
   const auto [entry, is_new] = worker.tasks.try_emplace(Key(task_id));
   if (!is_new) {
     worker.reserved -= entry->second.reserved;
-    CountTask(worker, entry->second, -1);
+    CountTask(&worker, entry->second, -1);
   }
   entry->second = std::move(task);
+  ++worker.composition_count;
   worker.reserved += entry->second.reserved;
-  CountTask(worker, entry->second, 1);
+  CountTask(&worker, entry->second, 1);
   UpdateIndex(index);
 }
 
@@ -148,25 +149,35 @@
     return;
   }
   worker.reserved -= found->second.reserved;
-  CountTask(worker, found->second, -1);
+  CountTask(&worker, found->second, -1);
   worker.tasks.erase(found);
+  ++worker.composition_count;
   UpdateIndex(index);
   ++release_count_;
 }
 
-void Fleet::CountTask(const FleetWorker& worker,
-                      const FleetTask& task,
-                      int64_t by) {
-  auto& kinds = workers_[workers_by_name_[worker.name]].kind_counts;
-  if ((kinds[task.task_kind] += static_cast<int32_t>(by)) == 0) {
-    kinds.erase(task.task_kind);
+bool Fleet::IsPreemptible(const FleetTask& task) {
+  return task.capacity_class == CapacityClass::kBatch &&
+         task.priority != Priority::kUrgent;
+}
+
+void Fleet::CountTask(FleetWorker* worker, const FleetTask& task, int32_t by) {
+  if ((worker->kind_counts[task.task_kind] += by) == 0) {
+    worker->kind_counts.erase(task.task_kind);
+  }
+  if (IsPreemptible(task)) {
+    if (by > 0) {
+      worker->preemptible += task.reserved;
+    } else {
+      worker->preemptible -= task.reserved;
+    }
   }
   OwnerSpread& spread = spread_[task.owner_uid];
-  if ((spread.by_domain[worker.failure_domain] += by) == 0) {
-    spread.by_domain.erase(worker.failure_domain);
+  if ((spread.by_domain[worker->failure_domain] += by) == 0) {
+    spread.by_domain.erase(worker->failure_domain);
   }
-  if ((spread.by_rack[worker.rack] += by) == 0) {
-    spread.by_rack.erase(worker.rack);
+  if ((spread.by_rack[worker->rack] += by) == 0) {
+    spread.by_rack.erase(worker->rack);
   }
   spread.total += by;
   if (spread.total == 0) {
@@ -174,6 +185,11 @@
   }
 }
 
+int64_t Fleet::OwnerTasks(std::string_view owner_uid) const {
+  const auto owner = spread_.find(Key(owner_uid));
+  return owner == spread_.end() ? 0 : owner->second.total;
+}
+
 int64_t Fleet::OwnerTasksInDomain(std::string_view owner_uid,
                                   int32_t domain) const {
   const auto owner = spread_.find(Key(owner_uid));
--- a/packages/placement/fleet.h
+++ b/packages/placement/fleet.h
@@ -33,13 +33,15 @@
   int32_t failure_domain = 0;  // See Fleet::FailureDomain.
   std::string rack;
   ResourceAmounts capacity;
-  ResourceAmounts reserved;  // Includes starts that are proposed only.
-  ResourceAmounts headroom;  // Kept free of batch work.
+  ResourceAmounts reserved;     // Includes starts that are proposed only.
+  ResourceAmounts preemptible;  // Part of `reserved`; see IsPreemptible.
+  ResourceAmounts headroom;     // Kept free of batch work.
   bool usable =
       false;  // Registered, and not drained, suspended or on probation.
   bool present = true;  // False once the worker's resource is deleted.
   absl::flat_hash_map<std::string, FleetTask> tasks;
   absl::flat_hash_map<int32_t, int32_t> kind_counts;
+  int64_t composition_count = 0;  // Grows with every change of `tasks`.
 
   ResourceAmounts FreeFor(CapacityClass capacity_class) const;
 };
@@ -51,6 +53,9 @@
   // `headroom_permille`: part of each worker that batch work leaves free.
   explicit Fleet(int64_t headroom_permille);
 
+  // Batch work that is not urgent gives way to work of a higher rank.
+  static bool IsPreemptible(const FleetTask& task);
+
   // Interns names; numbers are small and never reused.
   int32_t TaskKind(std::string_view name);
   int32_t FailureDomain(std::string_view name);
@@ -80,7 +85,9 @@
                                  CapacityClass capacity_class,
                                  bool with_accelerators) const;
 
-  // Live and proposed attempts of an owner in a failure domain or on a rack.
+  // Live and proposed attempts of an owner, in all, in a failure domain or on a
+  // rack.
+  int64_t OwnerTasks(std::string_view owner_uid) const;
   int64_t OwnerTasksInDomain(std::string_view owner_uid, int32_t domain) const;
   int64_t OwnerTasksOnRack(std::string_view owner_uid,
                            std::string_view rack) const;
@@ -107,7 +114,8 @@
   void RemoveFromIndex(uint32_t worker);
   void UpdateIndex(uint32_t worker);
   Group& GroupOf(const FleetWorker& worker);
-  void CountTask(const FleetWorker& worker, const FleetTask& task, int64_t by);
+  // Adds the task to the counters, or takes it out with -1.
+  void CountTask(FleetWorker* worker, const FleetTask& task, int32_t by);
 
   int64_t headroom_permille_;
   std::vector<FleetWorker> workers_;
--- a/packages/placement/placement_policy.cc
+++ b/packages/placement/placement_policy.cc
@@ -14,11 +14,13 @@
 
 }  // namespace
 
+bool MayHold(const PlacementRequest& request, const FleetWorker& worker) {
+  return worker.usable && worker.present && IsAllowed(request, worker);
+}
+
 bool Fits(const PlacementRequest& request, const FleetWorker& worker) {
-  if (!worker.usable || !worker.present || !IsAllowed(request, worker)) {
-    return false;
-  }
-  return request.size.FitsInto(worker.FreeFor(request.capacity_class));
+  return MayHold(request, worker) &&
+         request.size.FitsInto(worker.FreeFor(request.capacity_class));
 }
 
 EmptyFleetVerdict JudgeEmptyFleet(const PlacementRequest& request,
--- a/packages/placement/placement_policy.h
+++ b/packages/placement/placement_policy.h
@@ -33,7 +33,10 @@
     std::function<std::optional<PlacementChoice>(const PlacementRequest&,
                                                  const Fleet&)>;
 
-// True when the worker is usable, allowed, and has room for the request.
+// True when the worker is usable and in an allowed failure domain.
+bool MayHold(const PlacementRequest& request, const FleetWorker& worker);
+
+// True when the worker may hold the request and has room for the request.
 bool Fits(const PlacementRequest& request, const FleetWorker& worker);
 
 // What the workers could offer if they were all empty and usable.
--- a/packages/placement/task_placer.cc
+++ b/packages/placement/task_placer.cc
@@ -23,15 +23,22 @@
 // Reasons of owners that wait no longer stay until this bound is reached.
 constexpr size_t kMaximumReasons = 10'000;
 
+// Services come before batch work that may wait, but after urgent work, which
+// has a deadline of 4.3 s.
+constexpr int kUrgentRank = 0;
+constexpr int kServiceRank = 1;
+constexpr int kNormalRank = 2;
+constexpr int kLowRank = 3;
+
 int RankOf(const OwnerProfile& profile) {
   const bool is_service = profile.capacity_class == CapacityClass::kService;
   if (!is_service && profile.priority == Priority::kUrgent) {
-    return 0;
+    return kUrgentRank;
   }
   if (is_service) {
-    return 1;
+    return kServiceRank;
   }
-  return profile.priority == Priority::kNormal ? 2 : 3;
+  return profile.priority == Priority::kLow ? kLowRank : kNormalRank;
 }
 
 // Heap order: the element to serve first compares as the largest.
@@ -64,7 +71,9 @@
     return {"no worker of an allowed failure domain has registered", false};
   }
   if (verdict.fits) {
-    return {"no worker has enough free capacity", false};
+    return {
+        "no worker has enough free capacity that would not slow down services",
+        false};
   }
   return {absl::StrCat(
               "one task needs ", request.size.processor_millis,
@@ -83,11 +92,11 @@
 TaskPlacer::TaskPlacer(Fleet* fleet,
                        OwnerCatalog* owners,
                        FleetSynchronizer* synchronizer,
-                       PlacementPolicy policy)
+                       Hooks hooks)
     : fleet_(fleet),
       owners_(owners),
       synchronizer_(synchronizer),
-      policy_(std::move(policy)),
+      hooks_(std::move(hooks)),
       gate_(kRetryInterval) {}
 
 void TaskPlacer::Step(const ClusterState& state,
@@ -153,51 +162,99 @@
     return false;
   }
   const OwnerProfile& profile = *waiting->profile;
-  const PlacementRequest request = RequestFor(profile);
+  PlacementRequest request = RequestFor(profile, ledger);
   const QuotaVerdict verdict = ledger->Check(profile.team, request.size);
   if (verdict != QuotaVerdict::kWithin) {
     SetReason(state, now, profile, MakeReason(profile.team, verdict), commands);
     return false;
   }
-  const auto choice = Choose(request);
+  auto choice = Choose(request);
+  if (!choice && request.size != profile.declared &&
+      ReasonFor(profile, request).unplaceable) {
+    // An estimate must not make a job unplaceable that is declared to fit.
+    request.size = profile.declared;
+    choice = Choose(request);
+  }
   if (!choice) {
     SetReason(state, now, profile, ReasonFor(profile, request), commands);
+    MakeRoom(state, now, request, *waiting);
     return false;
   }
   const Task* task = state.FindTask(*waiting->next);
   BRAMLEYRAIL_ASSERT(task != nullptr, "a pending task has no record");
-  const FleetWorker& worker = fleet_->worker(choice->worker);
+  ledger->Charge(profile.team, request.size);
+  Start(*task, *waiting, request, *choice, now, starts);
+  ++waiting->next;
+  return true;
+}
+
+void TaskPlacer::Start(const Task& task,
+                       const Waiting& waiting,
+                       const PlacementRequest& request,
+                       const PlacementChoice& choice,
+                       MonotonicTime now,
+                       std::vector<AttemptStart>* starts) {
+  const OwnerProfile& profile = *waiting.profile;
+  const FleetWorker& worker = fleet_->worker(choice.worker);
   starts->push_back(
-      {task->id, task->attempt, worker.name, worker.boot_id, request.size});
-  LogEvent(kTaskPlaced, {{"task", task->id},
-                         {"attempt", task->attempt + 1},
+      {task.id, task.attempt, worker.name, worker.boot_id, request.size});
+  LogEvent(kTaskPlaced, {{"task", task.id},
+                         {"attempt", task.attempt + 1},
                          {"worker", worker.name},
                          {"task_kind", fleet_->TaskKindName(request.task_kind)},
                          {"team", profile.team},
-                         {"rank", waiting->rank},
-                         {"share", waiting->share},
-                         {"candidates", choice->candidates},
-                         {"score", choice->score}});
-  ledger->Charge(profile.team, request.size);
+                         {"rank", waiting.rank},
+                         {"share", waiting.share},
+                         {"candidates", choice.candidates},
+                         {"score", choice.score}});
   synchronizer_->AddProposed(
-      task->id, choice->worker,
+      task.id, choice.worker,
       {profile.owner.uid, profile.task_kind, profile.capacity_class,
-       profile.priority, request.size, task->attempt + 1},
+       profile.priority, request.size, task.attempt + 1},
       profile.team, now);
-  ++waiting->next;
-  return true;
 }
 
-PlacementRequest TaskPlacer::RequestFor(const OwnerProfile& profile) const {
-  return {profile.owner.uid, profile.task_kind, profile.capacity_class,
-          profile.priority,  profile.declared,  profile.failure_domains};
+void TaskPlacer::MakeRoom(const ClusterState& state,
+                          MonotonicTime now,
+                          const PlacementRequest& request,
+                          const Waiting& waiting) {
+  const bool outranks = waiting.rank < kNormalRank;
+  if (!hooks_.make_room || !outranks ||
+      ReasonFor(*waiting.profile, request).unplaceable ||
+      !gate_.Allow(absl::StrCat("room ", request.owner_uid), now)) {
+    return;
+  }
+  size_t count = 0;
+  for (auto next = waiting.next;
+       next != waiting.end && count < kMaximumRoomRequests; ++next) {
+    count += synchronizer_->IsProposed(*next) ? 0 : 1;
+  }
+  hooks_.make_room(state, request, count, now);
+}
+
+PlacementRequest TaskPlacer::RequestFor(const OwnerProfile& profile,
+                                        TeamLedger* ledger) const {
+  PlacementRequest request{profile.owner.uid,      profile.task_kind,
+                           profile.capacity_class, profile.priority,
+                           profile.declared,       profile.failure_domains};
+  if (hooks_.estimate) {
+    const ResourceAmounts estimate =
+        hooks_.estimate(profile.task_kind, profile.declared);
+    // An estimate must not exceed a quota that the declared size fits into.
+    if (ledger->Check(profile.team, estimate) !=
+        QuotaVerdict::kLargerThanQuota) {
+      request.size = estimate;
+    }
+  }
+  return request;
 }
 
 std::optional<PlacementChoice> TaskPlacer::Choose(
     const PlacementRequest& request) {
   const bool certain_failure = std::any_of(
       failed_.begin(), failed_.end(), [&](const FailedRequest& failed) {
-        return failed.capacity_class == request.capacity_class &&
+        return failed.task_kind == request.task_kind &&
+               failed.capacity_class == request.capacity_class &&
                failed.size.FitsInto(request.size) &&
                (failed.failure_domains.empty() ||
                 failed.failure_domains == request.failure_domains);
@@ -205,10 +262,10 @@
   if (certain_failure || failed_.size() >= kFailedRequestsInStep) {
     return std::nullopt;
   }
-  auto choice = policy_(request, *fleet_);
+  auto choice = hooks_.policy(request, *fleet_);
   if (!choice) {
-    failed_.push_back(
-        {request.capacity_class, request.size, request.failure_domains});
+    failed_.push_back({request.task_kind, request.capacity_class, request.size,
+                       request.failure_domains});
   }
   return choice;
 }
--- a/packages/placement/task_placer.h
+++ b/packages/placement/task_placer.h
@@ -2,6 +2,7 @@
 #define PACKAGES_PLACEMENT_TASK_PLACER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -23,10 +24,26 @@
 // the worker of each. Pure.
 class TaskPlacer {
  public:
+  struct Hooks {
+    PlacementPolicy policy;
+    // Size to reserve for a task of a kind with the declared size.
+    std::function<ResourceAmounts(int32_t task_kind,
+                                  const ResourceAmounts& declared)>
+        estimate;
+    // Called for urgent work and services that found no worker, with the
+    // number of waiting tasks (kMaximumRoomRequests at most).
+    std::function<void(const ClusterState& state,
+                       const PlacementRequest& request,
+                       size_t waiting,
+                       MonotonicTime now)>
+        make_room;
+  };
+  static constexpr size_t kMaximumRoomRequests = 16;
+
   TaskPlacer(Fleet* fleet,
              OwnerCatalog* owners,
              FleetSynchronizer* synchronizer,
-             PlacementPolicy policy);
+             Hooks hooks);
 
   void Step(const ClusterState& state,
             MonotonicTime now,
@@ -41,8 +58,10 @@
     std::set<std::string>::const_iterator next;
     std::set<std::string>::const_iterator end;
   };
-  // A request that found no worker in this step; larger ones find none either.
+  // A request that found no worker in this step; larger ones of the same kind
+  // find none either.
   struct FailedRequest {
+    int32_t task_kind;
     CapacityClass capacity_class;
     ResourceAmounts size;
     std::vector<int32_t> failure_domains;
@@ -65,7 +84,18 @@
                  std::vector<AttemptStart>* starts,
                  std::vector<CommandBody>* commands);
   std::optional<PlacementChoice> Choose(const PlacementRequest& request);
-  PlacementRequest RequestFor(const OwnerProfile& profile) const;
+  PlacementRequest RequestFor(const OwnerProfile& profile,
+                              TeamLedger* ledger) const;
+  void MakeRoom(const ClusterState& state,
+                MonotonicTime now,
+                const PlacementRequest& request,
+                const Waiting& waiting);
+  void Start(const Task& task,
+             const Waiting& waiting,
+             const PlacementRequest& request,
+             const PlacementChoice& choice,
+             MonotonicTime now,
+             std::vector<AttemptStart>* starts);
   void SetReason(const ClusterState& state,
                  MonotonicTime now,
                  const OwnerProfile& profile,
@@ -77,7 +107,7 @@
   Fleet* fleet_;
   OwnerCatalog* owners_;
   FleetSynchronizer* synchronizer_;
-  PlacementPolicy policy_;
+  Hooks hooks_;
   ProposalGate gate_;
   std::vector<FailedRequest> failed_;
   // By owner uid; computing one looks at all workers.
--- a/packages/placement/worker_monitor.cc
+++ b/packages/placement/worker_monitor.cc
@@ -57,6 +57,7 @@
   Entry& entry = EntryOf(report.worker, now);
   const bool same_boot = worker != nullptr && worker->boot_id == report.boot_id;
   entry.last_contact = now;
+  entry.last_report = now;
   const Resource* resource =
       state.FindResource(ResourceKind::kWorker, report.worker);
   if (same_boot && resource != nullptr && HasSpec(*resource, report.spec)) {
@@ -113,10 +114,11 @@
   if (!entry->suspended_since) {
     entry->suspended_since = now;
   }
-  const bool contact_after_suspension =
-      entry->last_contact >= *entry->suspended_since &&
-      now - entry->last_contact < kRecentContact;
-  if (contact_after_suspension) {
+  // Only a report counts here, not the first sight by a new leader.
+  const bool reports_again = entry->last_report &&
+                             *entry->last_report >= *entry->suspended_since &&
+                             now - *entry->last_report < kRecentContact;
+  if (reports_again) {
     if (gate_.Allow(absl::StrCat("resume ", name), now)) {
       LogEvent(kWorkerResumed, {{"worker", name}, {"expired", worker.expired}});
       commands->push_back(ResumeWorker{name, worker.boot_id});
--- a/packages/placement/worker_monitor.h
+++ b/packages/placement/worker_monitor.h
@@ -44,7 +44,8 @@
 
  private:
   struct Entry {
-    MonotonicTime last_contact;
+    MonotonicTime last_contact;  // At least the first sight of the worker.
+    std::optional<MonotonicTime> last_report;
     std::optional<MonotonicTime> suspended_since;
   };
 
