--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -41,7 +41,8 @@
     } else if constexpr (std::is_integral_v<T>) {
       return static_cast<int64_t>(value);
     } else {
-      return std::string_view(value);
+      const std::string_view text = value;
+      return text;
     }
   }
 };
