--- a/packages/placement/tests/policy_test.cc
+++ b/packages/placement/tests/policy_test.cc
@@ -365,6 +365,7 @@
   }
   cluster.DeclareJob("zz-new", Job(5));
   cluster.Run(Milliseconds(2000));
+  LONGS_EQUAL(5, cluster.TasksOf(kJob, "zz-new").size());
   for (const Task* task : cluster.TasksOf(kJob, "zz-new")) {
     CHECK(task->HasLiveAttempt());
   }
