Caller: Follow the lint rules in tests and fakes

Change: renames, and uses plain variables.

The lint was not run again after this change; what it still reported before is packages/base/log.h:44, which these packages include.

Conclusion: lint of these packages depends on a change to packages/base.

--- a/packages/caller/tests/request_path_test.cc
+++ b/packages/caller/tests/request_path_test.cc
@@ -9,7 +9,7 @@
 namespace bramleyrail {
 namespace {
 
-const httplib::Headers kIdempotent = {{kIdempotentHeader, "true"}};
+const httplib::Headers idempotent_headers = {{kIdempotentHeader, "true"}};
 
 httplib::Headers WithId(const std::string& id) {
   return {{kRequestIdHeader, id}};
@@ -53,7 +53,7 @@
         request["sleep_ms"] = (caller * 7 + i * 3) % 11;
         const TestCluster::Answer answer =
             cluster.Send(static_cast<size_t>(caller % 2), "echo",
-                         request.dump(), kIdempotent);
+                         request.dump(), idempotent_headers);
         wrong += answer.status == 200 && answer.body == body.dump() ? 0 : 1;
       }
     });
@@ -115,7 +115,8 @@
   TestCluster cluster(2);
   StandInTarget* target = cluster.AddTarget({}, {0});
   cluster.SetLink(TestCluster::Link::kLoseAnswers);
-  const TestCluster::Answer lost = cluster.Send(1, "echo", "{}", kIdempotent);
+  const TestCluster::Answer lost =
+      cluster.Send(1, "echo", "{}", idempotent_headers);
   LONGS_EQUAL(504, lost.status);
   CHECK(!lost.not_run());
   LONGS_EQUAL(4, total_executions(*target));
@@ -127,7 +128,8 @@
   TestCluster cluster(2);
   StandInTarget* target = cluster.AddTarget({}, {0});
   cluster.SetLink(TestCluster::Link::kLoseOneAnswer);
-  const TestCluster::Answer lost = cluster.Send(1, "echo", "{}", kIdempotent);
+  const TestCluster::Answer lost =
+      cluster.Send(1, "echo", "{}", idempotent_headers);
   LONGS_EQUAL(504, lost.status);
   CHECK(!lost.not_run());
   LONGS_EQUAL(1, total_executions(*target));
@@ -138,7 +140,7 @@
 TEST(RequestPath, ALateAnswerDoesNotReachTheNextRequest) {
   TestCluster cluster(1);
   cluster.AddTarget({}, {0});
-  cluster.Send(0, "echo", R"({"x":"first"})", kIdempotent);
+  cluster.Send(0, "echo", R"({"x":"first"})", idempotent_headers);
   LONGS_EQUAL(504,
               cluster
                   .Send(0, "echo", R"({"sleep_ms":900,"x":"late"})",
@@ -147,7 +149,7 @@
   for (int i = 0; i < 40; ++i) {
     const Json body = {{"sleep_ms", 20}, {"x", i}};
     const TestCluster::Answer answer =
-        cluster.Send(0, "echo", body.dump(), kIdempotent);
+        cluster.Send(0, "echo", body.dump(), idempotent_headers);
     STRCMP_EQUAL(Json({{"x", i}}).dump().c_str(), answer.body.c_str());
   }
 }
@@ -161,7 +163,7 @@
       cluster.Send(0, "echo", "{}", WithId("no-quorum"));
   LONGS_EQUAL(503, refused.status);
   CHECK(refused.not_run());
-  LONGS_EQUAL(200, cluster.Send(0, "echo", "{}", kIdempotent).status);
+  LONGS_EQUAL(200, cluster.Send(0, "echo", "{}", idempotent_headers).status);
   cluster.SetQuorum(true);
   cluster.SetLoseOutcomes(true);
   const TestCluster::Answer unknown =
@@ -182,7 +184,7 @@
   StandInTarget* target =
       cluster.AddTarget({.slots = 1, .connections = 1}, {0, 1});
   std::thread slow([&cluster] {
-    cluster.Send(0, "echo", R"({"sleep_ms":1500})", kIdempotent);
+    cluster.Send(0, "echo", R"({"sleep_ms":1500})", idempotent_headers);
   });
   CHECK(WaitUntil([target] { return !target->executions().empty(); }));
   cluster.plane(0).BeginDrain();
--- a/packages/caller/tests/watch_test.cc
+++ b/packages/caller/tests/watch_test.cc
@@ -28,12 +28,12 @@
   std::vector<Json> Lines() const {
     absl::MutexLock lock(&mutex_);
     std::vector<Json> lines;
+    const std::string_view text = text_;
     size_t begin = 0;
     for (size_t end = text_.find('\n'); end != std::string::npos;
          end = text_.find('\n', begin)) {
       lines.push_back(
-          ParseJson(std::string_view(text_).substr(begin, end - begin),
-                    JsonComments::kRefuse)
+          ParseJson(text.substr(begin, end - begin), JsonComments::kRefuse)
               .value());
       begin = end + 1;
     }
--- a/packages/target/fakes/stand_in_target.cc
+++ b/packages/target/fakes/stand_in_target.cc
@@ -15,15 +15,15 @@
 constexpr Milliseconds kAnnounceRetry{100};
 constexpr Milliseconds kHeartbeatInterval{2'000};
 constexpr Milliseconds kStreamStep{20};
-constexpr int kMessageTimeoutMs = 500;
+constexpr time_t kMessageTimeoutMicroseconds = 500'000;
 
 std::optional<Json> PostJson(const StandInTarget::InstanceAddress& instance,
                              const std::string& path,
                              const Json& body,
                              int* status) {
   httplib::Client client(instance.host, instance.port);
-  client.set_connection_timeout(0, kMessageTimeoutMs * 1000);
-  client.set_read_timeout(0, kMessageTimeoutMs * 1000);
+  client.set_connection_timeout(0, kMessageTimeoutMicroseconds);
+  client.set_read_timeout(0, kMessageTimeoutMicroseconds);
   const httplib::Result result =
       client.Post(path, body.dump(), kJsonContentType);
   *status = result ? result->status : 0;
