Bramleyraild: Serve the whole path as separate processes

The operator server refused to start without the hook for live targets, and the quickstart looked for running tasks after they had ended. The live targets now come from all instances over the status channel, and the quickstart waits for the state of the job itself.

--- a/packages/bramleyraild/instance.cc
+++ b/packages/bramleyraild/instance.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "packages/bramleyraild/bramleyraild_events.h"
+#include "packages/bramleyraild/peer_survey.h"
 
 namespace bramleyrail {
 
@@ -154,6 +155,12 @@
   status.network = network_.get();
   status_reporter_ = StatusReporter::Create(std::move(status));
 
+  LiveTargetReporter::Options targets;
+  targets.settings = settings_;
+  targets.sessions = [this] { return request_plane_->table().Sessions(); };
+  targets.network = network_.get();
+  live_target_reporter_ = LiveTargetReporter::Create(std::move(targets));
+
   OperatorServerOptions operators;
   operators.listen_address = settings_.listen.operators.address;
   operators.port = settings_.listen.operators.port;
@@ -169,6 +176,9 @@
   operators.hooks.explain_request = [this](std::string_view id) {
     return request_plane_->ExplainJson(std::string(id));
   };
+  operators.hooks.live_targets = [this] {
+    return live_target_reporter_->CollectTargets();
+  };
   TRY(operator_server, OperatorServer::Create(std::move(operators)));
   operator_server_ = std::move(operator_server);
 
@@ -206,11 +216,20 @@
           leader_loop_->DeliverReports(std::move(reports).value());
         }
       });
-  network_->SetCallHandler(PeerChannel::kStatus,
-                           [this](std::string_view, std::span<const std::byte>,
-                                  const PeerAnswer& answer) {
-                             answer(status_reporter_->EncodeLocalStatus());
-                           });
+  network_->SetCallHandler(
+      PeerChannel::kStatus,
+      [this](std::string_view, std::span<const std::byte> payload,
+             const PeerAnswer& answer) { AnswerSurvey(payload, answer); });
+}
+
+void Instance::AnswerSurvey(std::span<const std::byte> payload,
+                            const PeerAnswer& answer) const {
+  const bool asks_for_targets =
+      payload.size() == 1 &&
+      payload[0] ==
+          std::byte{static_cast<unsigned char>(SurveyQuestion::kLiveTargets)};
+  answer(asks_for_targets ? live_target_reporter_->EncodeLocalTargets()
+                          : status_reporter_->EncodeLocalStatus());
 }
 
 Result<void> Instance::Start() {
--- a/packages/bramleyraild/instance.h
+++ b/packages/bramleyraild/instance.h
@@ -11,6 +11,7 @@
 #include "packages/base/base.h"
 #include "packages/bramleyraild/health_server.h"
 #include "packages/bramleyraild/leader_loop.h"
+#include "packages/bramleyraild/live_target_reporter.h"
 #include "packages/bramleyraild/replicated_state.h"
 #include "packages/bramleyraild/settings.h"
 #include "packages/bramleyraild/status_reporter.h"
@@ -49,6 +50,8 @@
   Result<void> CreateRequestPlane();
   Result<void> CreateEdges();
   void BindPeerChannels();
+  void AnswerSurvey(std::span<const std::byte> payload,
+                    const PeerAnswer& answer) const;
   void DeliverWorkerReports(std::vector<WorkerReport> reports);
   // Waits for the first fresh state, then resolves the claims of earlier runs.
   void RunStartup();
@@ -67,6 +70,7 @@
   std::unique_ptr<RequestPlane> request_plane_;
   std::unique_ptr<PlatformServer> platform_server_;
   std::unique_ptr<StatusReporter> status_reporter_;
+  std::unique_ptr<LiveTargetReporter> live_target_reporter_;
   std::unique_ptr<OperatorServer> operator_server_;
   std::unique_ptr<HealthServer> health_server_;
   std::thread startup_thread_;
--- a/packages/bramleyraild/status_reporter.cc
+++ b/packages/bramleyraild/status_reporter.cc
@@ -3,14 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/time/time.h"
+#include "packages/bramleyraild/peer_survey.h"
 
 namespace bramleyrail {
 
 namespace {
 
-constexpr Milliseconds kAskTimeout{500};
-
 std::string RoleName(const ReplicaStatus& status, std::string_view instance) {
   if (status.is_observer) {
     return "observer";
@@ -33,18 +31,6 @@
   return "unknown";
 }
 
-// Answers of the peers, shared with callbacks that may outlive the question.
-struct Collection {
-  absl::Mutex mutex;
-  size_t outstanding ABSL_GUARDED_BY(mutex) = 0;
-  std::map<std::string, InstanceStatus, std::less<>> answers
-      ABSL_GUARDED_BY(mutex);
-
-  bool Complete() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
-    return outstanding == 0;
-  }
-};
-
 }  // namespace
 
 StatusReporter::StatusReporter(Options options)
@@ -82,33 +68,17 @@
   return EncodeInstanceStatus(LocalStatus());
 }
 
-StatusReporter::StatusByName StatusReporter::AskPeers() {
-  auto collection = std::make_shared<Collection>();
-  {
-    absl::MutexLock lock(&collection->mutex);
-    collection->outstanding = options_.settings.peers.size();
-  }
-  for (const PeerSettings& peer : options_.settings.peers) {
-    options_.network->Call(peer.name, PeerChannel::kStatus, {}, kAskTimeout,
-                           [collection, name = peer.name](
-                               const Result<std::vector<std::byte>>& answer) {
-                             absl::MutexLock lock(&collection->mutex);
-                             --collection->outstanding;
-                             if (!answer) {
-                               return;
-                             }
-                             auto status = DecodeInstanceStatus(answer.value());
-                             if (status) {
-                               collection->answers[name] =
-                                   std::move(status).value();
-                             }
-                           });
+StatusReporter::StatusByName StatusReporter::AskStatuses() const {
+  StatusByName statuses;
+  for (const auto& [name, answer] :
+       AskPeers(options_.network, options_.settings.peers,
+                SurveyQuestion::kStatus)) {
+    auto status = DecodeInstanceStatus(answer);
+    if (status) {
+      statuses[name] = std::move(status).value();
+    }
   }
-  absl::MutexLock lock(&collection->mutex);
-  collection->mutex.AwaitWithTimeout(
-      absl::Condition(collection.get(), &Collection::Complete),
-      absl::FromChrono(kAskTimeout));
-  return collection->answers;
+  return statuses;
 }
 
 InstanceStatus StatusReporter::PeerEntry(
@@ -143,7 +113,7 @@
 }
 
 std::vector<InstanceStatus> StatusReporter::CollectStatuses() {
-  const StatusByName answers = AskPeers();
+  const StatusByName answers = AskStatuses();
   {
     absl::MutexLock lock(&mutex_);
     for (const auto& [name, status] : answers) {
--- a/packages/bramleyraild/status_reporter.h
+++ b/packages/bramleyraild/status_reporter.h
@@ -46,7 +46,7 @@
   explicit StatusReporter(Options options);
 
   InstanceStatus LocalStatus() const;
-  StatusByName AskPeers();
+  StatusByName AskStatuses() const;
   InstanceStatus PeerEntry(const PeerSettings& peer,
                            const StatusByName& answers,
                            const std::vector<PeerStatus>& contacts);
--- a/scripts/lib/check_attempts.awk
+++ b/scripts/lib/check_attempts.awk
@@ -14,6 +14,7 @@
 }
 END {
   for (task in completions) tasks++
+  if (tasks != expected_tasks) { print "expected " expected_tasks " completed tasks"; faults++ }
   print starts " attempts started, " tasks " tasks completed, " faults + 0 " faults"
   exit faults > 0
 }
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -87,11 +87,19 @@
   shift
   for attempt in $(seq 600); do
     "$@" && return 0
+    check_processes_run
     sleep 0.1
   done
   fail "gave up waiting for $what"
 }
 
+check_processes_run() {
+  local name
+  for name in "${!process_ids[@]}"; do
+    kill -0 "${process_ids[$name]}" 2>/dev/null || fail "$name has ended"
+  done
+}
+
 is_ready() { curl -sf -o /dev/null "$(endpoint "$1" health)/ready"; }
 
 targets_known() {
@@ -102,9 +110,8 @@
   done
 }
 
-job_json() { ctl --output=json job die-cut-plans; }
-tasks_running() { job_json | grep -q '"reported": *"running"'; }
-job_completed() { job_json | grep -q '"state": *"completed"' && ! job_json | grep -qE '"state": *"(pending|assigned|running|waiting)"'; }
+job_state_is() { ctl job die-cut-plans | grep -qE "^status.state +$1\$"; }
+tasks_running() { ctl job die-cut-plans | grep -qE ' (running|checkpointed) '; }
 
 # send_request INSTANCE ID IDEMPOTENT BODY
 send_request() {
@@ -122,11 +129,13 @@
   printf 'request %s ran once\n' "$1"
 }
 
-# Every task has one completion, and no attempt starts before the last one ended.
+# check_attempts TASKS: every task has one completion, and no attempt starts before the
+# last one ended.
 check_attempts() {
   cat "$run_folder"/worker-*.attempts | sort -n >"$run_folder/attempts"
   [ -s "$run_folder/attempts" ] || fail "no attempt was logged"
-  awk -f scripts/lib/check_attempts.awk "$run_folder/attempts" || fail "a task ran twice"
+  awk -v expected_tasks="$1" -f scripts/lib/check_attempts.awk "$run_folder/attempts" ||
+    fail "a task was lost or ran twice"
 }
 
 kill_instance() {
