--- a/packages/bramleyraild/instance.cc
+++ b/packages/bramleyraild/instance.cc
@@ -12,6 +12,9 @@
 
 constexpr Milliseconds kStartupPollInterval{50};
 constexpr Milliseconds kProposeTimeout{6'000};
+// A watch holds a thread while it is open; press watches stay open for days.
+constexpr size_t kCallerWatchThreads = 1'100;
+constexpr size_t kOperatorWatchThreads = 128;
 
 RequestPlane::ListenAddress ToListenAddress(const Endpoint& endpoint) {
   return {endpoint.address, endpoint.port};
@@ -116,6 +119,7 @@
   options.callers = ToListenAddress(settings_.listen.callers);
   options.watches = ToListenAddress(settings_.listen.watches);
   options.targets = ToListenAddress(settings_.listen.targets);
+  options.watch_threads = kCallerWatchThreads;
   options.state = state_->Access();
   options.seed = Hash64(boot_id_, 1);
   options.peers.peers = PeerNames(settings_);
@@ -166,6 +170,7 @@
   operators.port = settings_.listen.operators.port;
   operators.watch_listen_address = settings_.listen.operator_watches.address;
   operators.watch_port = settings_.listen.operator_watches.port;
+  operators.maximum_watches = kOperatorWatchThreads;
   operators.state = state_->Access();
   operators.hooks.instance_statuses = [this] {
     return status_reporter_->CollectStatuses();
--- a/packages/bramleyraild/leader_loop.cc
+++ b/packages/bramleyraild/leader_loop.cc
@@ -13,6 +13,11 @@
 // of it and leaves time to gather commands into one batch.
 constexpr absl::Duration kStepInterval = absl::Milliseconds(50);
 
+// Callers resend within minutes; a day also covers a caller that was down over
+// night.
+constexpr Milliseconds kRecordRetention{24 * 3600 * 1000};
+constexpr Milliseconds kForgetInterval{60'000};
+
 void LogRefusal(size_t command, const Result<CommandOutcome>& outcome) {
   const auto index = static_cast<int64_t>(command);
   if (!outcome) {
@@ -101,12 +106,28 @@
     commands = controller->Step(state, options_.clock());
   });
   for (Command& command : commands) {
-    const size_t kind = command.body.index();
-    options_.state.propose(std::move(command),
-                           [kind](const Result<CommandOutcome>& outcome) {
-                             LogRefusal(kind, outcome);
-                           });
+    Propose(std::move(command));
   }
+  ForgetOldRecords();
+}
+
+void LeaderLoop::ForgetOldRecords() {
+  const MonotonicTime now = options_.clock();
+  if (now < next_forget_) {
+    return;
+  }
+  next_forget_ = now + kForgetInterval;
+  Command command;
+  command.body = ForgetBefore{UnixMilliseconds() - kRecordRetention.count()};
+  Propose(std::move(command));
+}
+
+void LeaderLoop::Propose(Command command) {
+  const size_t kind = command.body.index();
+  options_.state.propose(std::move(command),
+                         [kind](const Result<CommandOutcome>& outcome) {
+                           LogRefusal(kind, outcome);
+                         });
 }
 
 }  // namespace bramleyrail
--- a/packages/bramleyraild/leader_loop.h
+++ b/packages/bramleyraild/leader_loop.h
@@ -41,9 +41,14 @@
 
   void Run();
   void StepOnce();
+  // Proposes to forget claims and change ids that are older than their
+  // retention time.
+  void ForgetOldRecords();
+  void Propose(Command command);
   std::shared_ptr<Controller> CurrentController();
 
   const Options options_;
+  MonotonicTime next_forget_{};  // Used by the thread only.
   absl::Mutex mutex_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   // Exists only while this instance leads, since a controller's knowledge of
--- a/packages/peer/outgoing_link.cc
+++ b/packages/peer/outgoing_link.cc
@@ -228,7 +228,8 @@
 
 void OutgoingLink::Close(const Error& error, MonotonicTime now) {
   const bool was_ready = state_ == State::kReady;
-  const bool was_in_use = was_ready && now - phase_started_ >= kPeerSilenceLimit;
+  const bool was_in_use =
+      was_ready && now - phase_started_ >= kPeerSilenceLimit;
   failed_dials_ = was_in_use ? 0 : failed_dials_ + 1;
   LogClose(error);
   peer_->SetConnected(false);
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -1,4 +1,5 @@
-# A small deployment on loopback, for scripts/quickstart. Sourced from the repository's root.
+# A small deployment on loopback. Sourced by scripts/quickstart and scripts/measure_instance
+# from the repository's root.
 
 bin=build/bin
 port_base=${BRAMLEYRAIL_PORT_BASE:-17000}
@@ -174,7 +175,8 @@
   shift 2
   start "$name" "$bin/stand_in_target" --name="$name" --service=quotes --failure_domain="$domain" \
     --instances="$(join_addresses targets "$@")" \
-    --execution_file="$run_folder/$name.executions"
+    --execution_file="$run_folder/$name.executions" \
+    --connections="${target_connections:-64}"
 }
 
 start_worker() {
