Http: Share the bounded task queue and the exclusive port

The operator and platform packages each had a thread pool for cpp-httplib with the same job, and only the operator's server refused a port that another process listens on; the others shared it by the library's default (SO_REUSEPORT), so that a second instance with the same settings would have taken half of the connections.

One package holds both now, used by the operator, platform and health servers.

--- a/packages/bramleyraild/health_server.cc
+++ b/packages/bramleyraild/health_server.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "packages/http/http.h"
+
 namespace bramleyrail {
 
 namespace {
@@ -27,6 +29,7 @@
   std::unique_ptr<HealthServer> server(new HealthServer(std::move(hooks)));
   httplib::Server& http = *server->server_;
   http.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  RequireExclusivePort(&http);
   http.set_keep_alive_timeout(kKeepAliveSeconds);
   http.Get("/live", [](const httplib::Request&, httplib::Response& response) {
     response.set_content("live\n", "text/plain");
--- a/packages/platform/bounded_task_queue.cc
+++ b/packages/http/bounded_task_queue.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/bounded_task_queue.h"
+#include "packages/http/bounded_task_queue.h"
 
 #include <utility>
 
--- a/packages/platform/bounded_task_queue.h
+++ b/packages/http/bounded_task_queue.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_BOUNDED_TASK_QUEUE_H_
-#define PACKAGES_PLATFORM_BOUNDED_TASK_QUEUE_H_
+#ifndef PACKAGES_HTTP_BOUNDED_TASK_QUEUE_H_
+#define PACKAGES_HTTP_BOUNDED_TASK_QUEUE_H_
 
 #include <httplib.h>
 
@@ -44,4 +44,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_BOUNDED_TASK_QUEUE_H_
+#endif  // PACKAGES_HTTP_BOUNDED_TASK_QUEUE_H_
--- a/packages/operator/operator_server.cc
+++ b/packages/operator/operator_server.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
-#include "packages/operator/bounded_task_queue.h"
+#include "packages/http/http.h"
 #include "packages/operator/change_handlers.h"
 #include "packages/operator/http_answer.h"
 #include "packages/operator/operator_events.h"
@@ -61,7 +61,7 @@
 // large.
 void AnswerWithoutBody(const httplib::Request& request,
                        httplib::Response& response) {
-  if (!response.body.empty() || OperatorTaskQueue::IsRejecting()) {
+  if (!response.body.empty() || BoundedTaskQueue::IsRefusing()) {
     return;
   }
   const int status = response.status;
@@ -98,14 +98,11 @@
 
 void Configure(httplib::Server& server, size_t threads, size_t queue) {
   server.new_task_queue = [threads, queue] {
-    return new OperatorTaskQueue(threads, queue);
+    return new BoundedTaskQueue(threads, queue);
   };
   // The default of httplib also sets SO_REUSEPORT, with which a second process
   // could take the port over unnoticed.
-  server.set_socket_options([](socket_t socket) {
-    const int enable = 1;
-    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof(enable));
-  });
+  RequireExclusivePort(&server);
   server.set_tcp_nodelay(true);
   server.set_keep_alive_timeout(kKeepAliveSeconds);
   server.set_read_timeout(kReadTimeoutSeconds);
@@ -113,7 +110,7 @@
   server.set_payload_max_length(kMaximumBodyBytes);
   server.set_pre_routing_handler(
       [](const httplib::Request& request, httplib::Response& response) {
-        if (!OperatorTaskQueue::IsRejecting()) {
+        if (!BoundedTaskQueue::IsRefusing()) {
           return httplib::Server::HandlerResponse::Unhandled;
         }
         Reject(request, response);
--- a/packages/platform/platform_server.cc
+++ b/packages/platform/platform_server.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "packages/platform/bounded_task_queue.h"
+#include "packages/http/http.h"
 #include "packages/platform/change_notifier.h"
 #include "packages/platform/platform_events.h"
 #include "packages/platform/poll_answer.h"
@@ -109,6 +109,7 @@
       return new BoundedTaskQueue(options_.threads,
                                   options_.queued_connections);
     };
+    RequireExclusivePort(&server_);
     server_.set_payload_max_length(kMaximumBodyBytes);
     server_.set_keep_alive_timeout(kKeepAliveSeconds);
     server_.set_keep_alive_max_count(kKeepAliveRequests);
