--- a/packages/bramleyctl/watch_command.cc
+++ b/packages/bramleyctl/watch_command.cc
@@ -11,7 +11,7 @@
 #include "packages/bramleyctl/commands.h"
 #include "packages/bramleyctl/table.h"
 #include "packages/bramleyctl/watch_cursor.h"
-#include "packages/bramleyctl/watch_stream.h"
+#include "packages/bramleyctl/watch_subscription.h"
 
 namespace bramleyrail {
 
@@ -80,7 +80,7 @@
   StreamOutcome outcome;
   std::optional<Error> fault;
   cursor->StartStream();
-  const Result<void> read = WatchStream::Read(
+  const Result<void> read = WatchSubscription::Read(
       server,
       absl::StrCat("/v1/watch?after_revision=", cursor->resume_revision(),
                    "&kind=", kinds),
--- a/packages/bramleyctl/watch_stream.cc
+++ b/packages/bramleyctl/watch_subscription.cc
@@ -1,4 +1,4 @@
-#include "packages/bramleyctl/watch_stream.h"
+#include "packages/bramleyctl/watch_subscription.h"
 
 #include <httplib.h>
 
@@ -20,7 +20,7 @@
 // Takes the whole lines off the front of `text`; false when the handler ended
 // the stream or a line is faulty.
 Result<bool> HandleLines(std::string* text,
-                         const WatchStream::LineHandler& handler) {
+                         const WatchSubscription::LineHandler& handler) {
   size_t start = 0;
   while (true) {
     const size_t end = text->find('\n', start);
@@ -47,9 +47,9 @@
 
 }  // namespace
 
-Result<void> WatchStream::Read(const ServerAddress& server,
-                               const std::string& path,
-                               const LineHandler& handler) {
+Result<void> WatchSubscription::Read(const ServerAddress& server,
+                                     const std::string& path,
+                                     const LineHandler& handler) {
   httplib::Client client(server.host, server.port);
   client.set_connection_timeout(kConnectTimeout);
   client.set_read_timeout(kSilenceLimit);
--- a/packages/bramleyctl/watch_stream.h
+++ b/packages/bramleyctl/watch_subscription.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_BRAMLEYCTL_WATCH_STREAM_H_
-#define PACKAGES_BRAMLEYCTL_WATCH_STREAM_H_
+#ifndef PACKAGES_BRAMLEYCTL_WATCH_SUBSCRIPTION_H_
+#define PACKAGES_BRAMLEYCTL_WATCH_SUBSCRIPTION_H_
 
 #include <functional>
 #include <string>
@@ -11,7 +11,7 @@
 
 // Reads one stream of lines from one server until the handler stops it, the
 // stream ends, or nothing was received for the silence limit of watches.
-class WatchStream {
+class WatchSubscription {
  public:
   // Returns false to end the stream.
   using LineHandler = std::function<bool(const Json& line)>;
@@ -26,4 +26,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_BRAMLEYCTL_WATCH_STREAM_H_
+#endif  // PACKAGES_BRAMLEYCTL_WATCH_SUBSCRIPTION_H_
--- a/packages/bramleyraild/leader_loop.cc
+++ b/packages/bramleyraild/leader_loop.cc
@@ -18,17 +18,17 @@
 constexpr Milliseconds kRecordRetention{24 * 3600 * 1000};
 constexpr Milliseconds kForgetInterval{60'000};
 
-void LogRefusal(size_t command, const Result<CommandOutcome>& outcome) {
-  const auto index = static_cast<int64_t>(command);
+void LogRefusal(std::string_view command,
+                const Result<CommandOutcome>& outcome) {
   if (!outcome) {
     LogEvent(kControllerCommandRefused,
-             {{"command", index}, {"error", outcome.error().ToString()}});
+             {{"command", command}, {"error", outcome.error().ToString()}});
     return;
   }
   if (outcome.value().refusal) {
     LogEvent(
         kControllerCommandRefused,
-        {{"command", index}, {"error", outcome.value().refusal->ToString()}});
+        {{"command", command}, {"error", outcome.value().refusal->ToString()}});
   }
 }
 
@@ -123,10 +123,11 @@
 }
 
 void LeaderLoop::Propose(Command command) {
-  const size_t kind = command.body.index();
+  // Points to a constant, so it outlives the command.
+  const std::string_view name = CommandName(command.body);
   options_.state.propose(std::move(command),
-                         [kind](const Result<CommandOutcome>& outcome) {
-                           LogRefusal(kind, outcome);
+                         [name](const Result<CommandOutcome>& outcome) {
+                           LogRefusal(name, outcome);
                          });
 }
 
--- a/packages/operator/operator_server.cc
+++ b/packages/operator/operator_server.cc
@@ -10,8 +10,8 @@
 #include "packages/operator/change_handlers.h"
 #include "packages/operator/http_answer.h"
 #include "packages/operator/operator_events.h"
+#include "packages/operator/operator_watch_stream.h"
 #include "packages/operator/read_handlers.h"
-#include "packages/operator/watch_stream.h"
 
 namespace bramleyrail {
 
@@ -288,7 +288,7 @@
     return AnswerError(error, response, {{"oldest_revision", oldest}});
   }
 
-  auto stream = std::make_shared<WatchStream>(
+  auto stream = std::make_shared<OperatorWatchStream>(
       options_, &draining_, watch.value().after_revision, watch.value().kinds);
   LogEvent(operator_events::kOperatorWatchOpened,
            {{"client", request.remote_addr},
@@ -299,7 +299,7 @@
         const auto write = [&sink](const std::string& line) {
           return sink.is_writable() && sink.write(line.data(), line.size());
         };
-        if (stream->Step(write) == WatchStream::Next::kEnd) {
+        if (stream->Step(write) == OperatorWatchStream::Next::kEnd) {
           sink.done();
         }
         return sink.is_writable();
--- a/packages/operator/watch_stream.cc
+++ b/packages/operator/operator_watch_stream.cc
@@ -1,4 +1,4 @@
-#include "packages/operator/watch_stream.h"
+#include "packages/operator/operator_watch_stream.h"
 
 #include <algorithm>
 #include <thread>
@@ -35,17 +35,18 @@
 
 }  // namespace
 
-WatchStream::WatchStream(std::shared_ptr<const OperatorServerOptions> options,
-                         const std::atomic<bool>* draining,
-                         int64_t after_revision,
-                         std::set<ResourceKind> kinds)
+OperatorWatchStream::OperatorWatchStream(
+    std::shared_ptr<const OperatorServerOptions> options,
+    const std::atomic<bool>* draining,
+    int64_t after_revision,
+    std::set<ResourceKind> kinds)
     : options_(std::move(options)),
       draining_(draining),
       kinds_(std::move(kinds)),
       revision_(after_revision),
       last_heartbeat_time_(std::chrono::steady_clock::now()) {}
 
-WatchStream::Next WatchStream::Step(const Write& write) {
+OperatorWatchStream::Next OperatorWatchStream::Step(const Write& write) {
   if (!draining_->load()) {
     options_->state.wait_for_revision(
         revision_, std::min(kMaximumWait, options_->watch_heartbeat));
@@ -80,7 +81,7 @@
   return Next::kContinue;
 }
 
-Result<std::string> WatchStream::NextLines() {
+Result<std::string> OperatorWatchStream::NextLines() {
   Result<std::string> lines = std::string();
   options_->state.read([&](const ClusterState& state) {
     const Result<std::vector<ResourceChange>> changes =
@@ -104,7 +105,7 @@
   return lines;
 }
 
-std::string WatchStream::Heartbeat() const {
+std::string OperatorWatchStream::Heartbeat() const {
   Json json = {{"type", "heartbeat"}, {"revision", revision_}};
   const std::optional<Milliseconds> age = options_->state.state_age();
   json["state_age_ms"] = age ? Json(age->count()) : Json();
--- a/packages/operator/watch_stream.h
+++ b/packages/operator/operator_watch_stream.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_OPERATOR_WATCH_STREAM_H_
-#define PACKAGES_OPERATOR_WATCH_STREAM_H_
+#ifndef PACKAGES_OPERATOR_OPERATOR_WATCH_STREAM_H_
+#define PACKAGES_OPERATOR_OPERATOR_WATCH_STREAM_H_
 
 #include <atomic>
 #include <functional>
@@ -12,16 +12,16 @@
 namespace bramleyrail {
 
 // One watch: turns changes of the state into lines of JSON.
-class WatchStream {
+class OperatorWatchStream {
  public:
   using Write = std::function<bool(const std::string& line)>;
   enum class Next { kContinue, kEnd };
 
   // `kinds` empty: all kinds. `draining` outlives the stream.
-  WatchStream(std::shared_ptr<const OperatorServerOptions> options,
-              const std::atomic<bool>* draining,
-              int64_t after_revision,
-              std::set<ResourceKind> kinds);
+  OperatorWatchStream(std::shared_ptr<const OperatorServerOptions> options,
+                      const std::atomic<bool>* draining,
+                      int64_t after_revision,
+                      std::set<ResourceKind> kinds);
 
   // Waits for changes for a short time and writes what there is, a heartbeat
   // when one is due, or the last line. kEnd after that, or when writing fails.
@@ -43,4 +43,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_OPERATOR_WATCH_STREAM_H_
+#endif  // PACKAGES_OPERATOR_OPERATOR_WATCH_STREAM_H_
--- a/packages/state/command.h
+++ b/packages/state/command.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -178,6 +179,9 @@
   CommandBody body;
 };
 
+// Names the kind of command in logs, for example "start_attempts".
+std::string_view CommandName(const CommandBody& body);
+
 // CBOR, as stored in the log. The time comes first, then the index of the body
 // in CommandBody and its fields by position; see codec.h.
 std::vector<std::byte> EncodeCommand(const Command& command);
