--- a/cmake/BramleyrailPackage.cmake
+++ b/cmake/BramleyrailPackage.cmake
@@ -13,6 +13,26 @@
 pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
 find_package(rapidcheck REQUIRED)
 
+find_package(nlohmann_json REQUIRED)
+
+# Holds the precompiled header that all packages share. GCC uses it only in
+# sources with the same macros, so those of the libraries are set everywhere.
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+foreach(library HTTPLIB LOG4CXX)
+  foreach(flag ${${library}_CFLAGS})
+    if(flag MATCHES "^-D")
+      add_compile_options(${flag})
+    endif()
+  endforeach()
+endforeach()
+add_library(bramleyrail_precompiled OBJECT ${CMAKE_CURRENT_LIST_DIR}/precompiled.cc)
+target_link_libraries(bramleyrail_precompiled PRIVATE
+  absl::random_random absl::strings absl::synchronization
+  nlohmann_json::nlohmann_json Threads::Threads)
+target_precompile_headers(bramleyrail_precompiled PRIVATE
+  ${CMAKE_CURRENT_LIST_DIR}/precompiled.h)
+
 function(bramleyrail_package name)
   cmake_parse_arguments(PACKAGE "" "" "DEPENDS;LIBRARIES" ${ARGN})
   set(dependencies ${PACKAGE_LIBRARIES})
@@ -32,6 +52,9 @@
     set(scope INTERFACE)
   endif()
   target_include_directories(${library} ${scope} ${PROJECT_SOURCE_DIR})
+  if(sources)
+    target_precompile_headers(${library} REUSE_FROM bramleyrail_precompiled)
+  endif()
   target_link_libraries(${library} ${scope} ${dependencies} Threads::Threads)
 
   file(GLOB fakes CONFIGURE_DEPENDS fakes/*.cc)
@@ -39,6 +62,7 @@
   if(fakes)
     add_library(${library}_fakes STATIC ${fakes})
     target_link_libraries(${library}_fakes PUBLIC ${library})
+    target_precompile_headers(${library}_fakes REUSE_FROM bramleyrail_precompiled)
     set(fake_dependencies ${library}_fakes)
   endif()
 
--- /dev/null
+++ b/cmake/precompiled.cc
@@ -0,0 +1,1 @@
+// The precompiled header needs a source to be compiled for.
--- a/packages/base/clock.cc
+++ b/packages/base/clock.cc
@@ -1,7 +1,16 @@
 #include "packages/base/clock.h"
 
+#include <time.h>
+
 namespace bramleyrail {
 
+MonotonicTime BootTimeNow() {
+  timespec now;
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return MonotonicTime(std::chrono::seconds(now.tv_sec) +
+                       std::chrono::nanoseconds(now.tv_nsec));
+}
+
 MonotonicClock SystemMonotonicClock() {
   return [] { return std::chrono::steady_clock::now(); };
 }
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -16,6 +16,11 @@
 
 MonotonicClock SystemMonotonicClock();
 
+// CLOCK_BOOTTIME. Unlike CLOCK_MONOTONIC it counts the time that the machine
+// was suspended, so a lease cannot outlive a suspension. Never mixed with the
+// times of SystemMonotonicClock().
+MonotonicTime BootTimeNow();
+
 // Milliseconds since the Unix epoch, for display and records only.
 int64_t UnixMilliseconds();
 
--- a/packages/base/log.cc
+++ b/packages/base/log.cc
@@ -76,7 +76,9 @@
     log4cxx::AppenderPtr sink;
     if (options.file.empty()) {
       sink = std::make_shared<log4cxx::ConsoleAppender>(
-          layout, LOG4CXX_STR("System.err"));
+          layout, options.stream == LogStream::kStandardOutput
+                      ? LOG4CXX_STR("System.out")
+                      : LOG4CXX_STR("System.err"));
     } else {
       LOG4CXX_DECODE_CHAR(file, options.file);
       sink = std::make_shared<log4cxx::FileAppender>(layout, file, true);
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -47,8 +47,11 @@
   }
 };
 
+enum class LogStream { kStandardError, kStandardOutput };
+
 struct LogOptions {
-  std::string file;  // Empty for standard error.
+  std::string file;  // Empty for `stream`.
+  LogStream stream = LogStream::kStandardError;
   LogSeverity minimum_severity = LogSeverity::kInfo;
 };
 
--- a/packages/bramleyraild/bramleyraild_events.h
+++ b/packages/bramleyraild/bramleyraild_events.h
@@ -19,6 +19,8 @@
     8006, LogSeverity::kWarning, "controller_command_refused"};
 inline constexpr LogEventDefinition kWorkerReportDropped{
     8007, LogSeverity::kWarning, "worker_report_dropped"};
+inline constexpr LogEventDefinition kSettingsReloaded{8008, LogSeverity::kInfo,
+                                                      "settings_reloaded"};
 
 }  // namespace bramleyrail
 
--- a/packages/bramleyraild/bramleyraild_main.cc
+++ b/packages/bramleyraild/bramleyraild_main.cc
@@ -6,7 +6,10 @@
 #include <utility>
 
 #include "packages/base/base.h"
+#include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/instance.h"
+#include "packages/bramleyraild/role_instance.h"
+#include "platform/platform.h"
 
 DEFINE_string(settings, "", "settings file in JSON with comments");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -39,6 +42,65 @@
   sigwait(&signals, &received);
 }
 
+PlatformHooks HooksOfPlatform() {
+  return {platform::MakeCallerHandler, platform::MakeControlHandler,
+          platform::MakeWorkerCaller, platform::CallerPatience,
+          platform::MakeReadyHandler};
+}
+
+// Waits for a stop signal; SIGHUP says that the settings file has changed.
+void ServeRole(RoleInstance* instance, const sigset_t& signals) {
+  int received = 0;
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+    const auto settings = LoadRoleSettings(FLAGS_settings);
+    LogEvent(
+        kSettingsReloaded,
+        {{"accepted", settings.has_value()},
+         {"error", settings ? std::string() : settings.error().ToString()}});
+    if (settings) {
+      instance->Reload(settings.value());
+    }
+  }
+}
+
+int RunRole() {
+  auto settings = LoadRoleSettings(FLAGS_settings);
+  if (!settings) {
+    return Report(settings.error(), kExitUsage);
+  }
+  if (FLAGS_check_settings) {
+    std::printf("%s: valid\n", FLAGS_settings.c_str());
+    return 0;
+  }
+  sigset_t signals = BlockStopSignals();
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  if (auto logging = StartLogging(settings.value().log); !logging) {
+    return Report(logging.error(), kExitFailure);
+  }
+  const bool control = settings.value().role == InstanceRole::kControl;
+  LogEvent(kInstanceStarting,
+           {{"instance", settings.value().instance},
+            {"failure_domain", settings.value().failure_domain},
+            {"region", settings.value().region},
+            {"role", std::string_view(control ? "control" : "gateway")},
+            {"data_folder", settings.value().data_folder}});
+  auto instance = control ? StartControlInstance(std::move(settings).value(),
+                                                 HooksOfPlatform())
+                          : StartGatewayInstance(std::move(settings).value(),
+                                                 HooksOfPlatform());
+  if (!instance) {
+    return Report(instance.error(), kExitFailure);
+  }
+  ServeRole(instance.value().get(), signals);
+  LogEvent(kInstanceStopping, {});
+  const bool clean = instance.value()->Stop();
+  LogEvent(kInstanceStopped, {{"clean", clean}});
+  instance.value().reset();
+  StopLogging();
+  return 0;
+}
+
 int Run() {
   auto settings = LoadSettings(FLAGS_settings);
   if (!settings) {
@@ -79,5 +141,8 @@
                  "docs/settings.md describes the file\n");
     return bramleyrail::kExitUsage;
   }
-  return bramleyrail::Run();
+  const auto text = bramleyrail::ReadSettingsFile(FLAGS_settings);
+  const bool is_entry = !text || bramleyrail::RoleOf(text.value()) ==
+                                     bramleyrail::InstanceRole::kEntry;
+  return is_entry ? bramleyrail::Run() : bramleyrail::RunRole();
 }
--- /dev/null
+++ b/packages/bramleyraild/control_instance.cc
@@ -0,0 +1,279 @@
+#include <atomic>
+#include <thread>
+#include <utility>
+
+#include "packages/bramleyraild/bramleyraild_events.h"
+#include "packages/bramleyraild/control_network.h"
+#include "packages/bramleyraild/role_instance.h"
+#include "packages/bramleyraild/role_metrics.h"
+
+namespace bramleyrail {
+
+namespace {
+
+// Operators and workers move on to another instance after a second.
+constexpr Milliseconds kForwardLimit{900};
+// A proposal without a commit for this long is given up; callers have left.
+constexpr Milliseconds kProposeTimeout{2'500};
+// A lease is shorter than the longest one by this much, so that a worker never
+// shortens it.
+constexpr Milliseconds kLeaseReserve{500};
+constexpr Milliseconds kLongestLease{5'500};
+// Time for another instance to take over the leadership of a stopping one.
+constexpr Milliseconds kTransferTime{1'500};
+constexpr Milliseconds kStopPoll{20};
+
+class ControlInstance final : public RoleInstance {
+ public:
+  ControlInstance(RoleSettings settings, PlatformHooks hooks)
+      : settings_(std::move(settings)),
+        hooks_(std::move(hooks)),
+        own_name_(ControlInstanceName(settings_.address)),
+        loop_(IoLoop::Create()),
+        client_(loop_.get(), {}) {}
+
+  ~ControlInstance() override {
+    if (network_ != nullptr) {
+      network_->network().Stop();
+    }
+    if (queue_ != nullptr) {
+      queue_->replica().Stop();
+    }
+    loop_->Stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  Result<void> Start() {
+    TRY(network, ControlNetwork::Create(settings_));
+    network_ = std::move(network);
+    TRY(CreateQueue());
+    CreateService();
+    CreateRelay();
+    TRY(control, AsyncHttpServer::Create(
+                     loop_.get(), {.address = settings_.control_address},
+                     [this](HttpRequest request, HttpResponder respond) {
+                       HandleControl(std::move(request), std::move(respond));
+                     }));
+    control_ = std::move(control);
+    if (settings_.metrics_port != 0) {
+      TRY(metrics, StartMetricsServer(loop_.get(), settings_,
+                                      [this] { return Metrics(); }));
+      metrics_ = std::move(metrics);
+    }
+    BindPeerChannels();
+    TRY(network_->network().Start());
+    queue_->replica().Start();
+    loop_->Post([this] { dispatch_->Start(); });
+    thread_ = std::thread([this] { loop_->Run(); });
+    LogEvent(kInstanceReady, {{"instance", settings_.instance}});
+    return Success();
+  }
+
+  void Reload(const RoleSettings& settings) override {
+    for (const std::string& ip : settings.control_instances) {
+      network_->Learn(ControlInstanceName(ip));
+    }
+  }
+
+  bool Stop() override {
+    loop_->Post([this] { control_->BeginDrain(); });
+    const MonotonicTime limit =
+        std::chrono::steady_clock::now() +
+        std::min(kTransferTime, settings_.stop_deadline / 2);
+    if (queue_->replica().IsLeader()) {
+      queue_->replica().TransferLeadership();
+    }
+    while (queue_->replica().IsLeader()) {
+      if (std::chrono::steady_clock::now() > limit) {
+        return false;
+      }
+      std::this_thread::sleep_for(kStopPoll);
+    }
+    return true;
+  }
+
+ private:
+  Result<void> CreateQueue() {
+    Replica::Options options;
+    options.instance_name = own_name_;
+    options.data_folder = settings_.data_folder;
+    for (const std::string& ip : settings_.control_instances) {
+      options.initial_voters.push_back(ControlInstanceName(ip));
+    }
+    options.peers = options.initial_voters;
+    options.seed = Hash64(NewUniqueId(), 0);
+    options.propose_timeout = kProposeTimeout;
+    options.send = [this](std::string_view peer,
+                          std::span<const std::byte> bytes) {
+      network_->Learn(peer);
+      return network_->network().Send(peer, PeerChannel::kReplication, bytes);
+    };
+    TRY(queue, ReplicatedQueue::Create(std::move(options), [this] {
+          if (dispatch_ != nullptr) {
+            dispatch_->Wake();
+          }
+        }));
+    queue_ = std::move(queue);
+    return Success();
+  }
+
+  void CreateService() {
+    DispatchLoop::Options options;
+    options.instance = own_name_;
+    options.dispatcher.placement.own_region = settings_.region;
+    options.dispatcher.placement.region_of_failure_domain =
+        settings_.region_of_failure_domain;
+    options.dispatcher.maximum_lease = settings_.maximum_lease;
+    options.dispatcher.lease =
+        std::min(settings_.maximum_lease - kLeaseReserve, kLongestLease);
+    options.job_retention = settings_.job_retention * 2;
+    options.call_worker = hooks_.worker_caller(&client_);
+    dispatch_ = std::make_unique<DispatchLoop>(loop_.get(), queue_.get(),
+                                               std::move(options));
+    service_ = std::make_unique<ControlService>(loop_.get(), queue_.get(),
+                                                dispatch_.get());
+    handle_caller_ = hooks_.caller_handler(service_.get());
+    handle_control_ = hooks_.control_handler(service_.get());
+  }
+
+  void CreateRelay() {
+    LeaderRelay::Options options;
+    options.from = RelayedFrom::kOperatorOrWorker;
+    options.instances = [this] { return network_->ControlInstances(); };
+    options.call = [this](std::string_view peer,
+                          std::span<const std::byte> payload,
+                          Milliseconds timeout, PeerCallCallback callback) {
+      network_->Learn(peer);
+      network_->network().Call(peer, PeerChannel::kControl, payload, timeout,
+                               std::move(callback));
+    };
+    relay_ = std::make_unique<LeaderRelay>(loop_.get(), std::move(options));
+  }
+
+  void BindPeerChannels() {
+    network_->network().SetMessageHandler(
+        PeerChannel::kReplication,
+        [this](std::string_view peer, std::span<const std::byte> payload) {
+          queue_->replica().ReceiveMessage(peer, payload);
+        });
+    network_->network().SetCallHandler(
+        PeerChannel::kControl,
+        [this](std::string_view, std::span<const std::byte> payload,
+               PeerAnswer answer) {
+          auto request = DecodeRelayedRequest(payload);
+          if (!request) {
+            answer(request.error());
+            return;
+          }
+          loop_->Post([this, request = std::move(request).value(),
+                       answer = std::move(answer)]() mutable {
+            HandleRelayed(std::move(request), std::move(answer));
+          });
+        });
+  }
+
+  // Name of the leader as far as the replica knows, or empty.
+  std::string LeaderName() const {
+    const ReplicaStatus status = queue_->replica().Status();
+    return status.leader ? status.leader->name : std::string();
+  }
+
+  void HandleRelayed(RelayedRequest request, PeerAnswer answer) {
+    if (!service_->leads()) {
+      RelayedResponse response;
+      response.not_leader = true;
+      response.leader = LeaderName();
+      if (response.leader == own_name_) {
+        response.leader.clear();
+      }
+      answer(EncodeRelayed(response));
+      return;
+    }
+    const HttpHandler& handler =
+        request.from_caller ? handle_caller_ : handle_control_;
+    handler(FromRelayed(std::move(request)),
+            [answer = std::move(answer)](HttpResponse response) {
+              answer(EncodeRelayed(ToRelayed(std::move(response))));
+            });
+  }
+
+  void HandleControl(HttpRequest request, HttpResponder respond) {
+    if (service_->leads()) {
+      handle_control_(std::move(request), std::move(respond));
+      return;
+    }
+    relay_->SuggestLeader(LeaderName());
+    relay_->Forward(std::move(request), kForwardLimit, std::move(respond));
+  }
+
+  std::vector<MetricSample> Metrics() const {
+    const ReplicaStatus status = queue_->replica().Status();
+    std::vector<MetricSample> samples = {
+        {"leads", {}, service_->leads() ? 1.0 : 0.0},
+        {"replica_term", {}, static_cast<double>(status.term)},
+        {"replica_voters", {}, static_cast<double>(status.voters.size())},
+        {"replica_commit_index", {}, static_cast<double>(status.commit_index)},
+        {"control_open_requests",
+         {},
+         static_cast<double>(control_->open_requests())},
+        {"worker_connections_opened_total",
+         {},
+         static_cast<double>(client_.connections_opened())}};
+    const size_t jobs = queue_->Read(
+        [](const QueueState& state) { return state.jobs().size(); });
+    samples.push_back({"jobs", {}, static_cast<double>(jobs)});
+    if (const Dispatcher* dispatcher = dispatch_->dispatcher()) {
+      AppendDispatcher(*dispatcher, &samples);
+    }
+    return samples;
+  }
+
+  static void AppendDispatcher(const Dispatcher& dispatcher,
+                               std::vector<MetricSample>* samples) {
+    const Dispatcher::Counters& counters = dispatcher.counters();
+    const auto add = [samples](std::string name, uint64_t value) {
+      samples->push_back({std::move(name), {}, static_cast<double>(value)});
+    };
+    add("dispatcher_workers", dispatcher.worker_count());
+    add("dispatcher_ready_tasks", dispatcher.ready_count());
+    add("dispatcher_starts_total", counters.starts);
+    add("dispatcher_starts_refused_total", counters.starts_refused);
+    add("dispatcher_ends_done_total", counters.ends_done);
+    add("dispatcher_ends_failed_total", counters.ends_failed);
+    add("dispatcher_ends_interrupted_total", counters.ends_interrupted);
+    add("dispatcher_runs_lost_total", counters.runs_lost);
+    add("dispatcher_looks_total", counters.looks);
+    add("dispatcher_paces_total", counters.paces);
+  }
+
+  const RoleSettings settings_;
+  const PlatformHooks hooks_;
+  const std::string own_name_;
+  const std::unique_ptr<IoLoop> loop_;
+  AsyncHttpClient client_;
+  std::unique_ptr<ControlNetwork> network_;
+  std::unique_ptr<ReplicatedQueue> queue_;
+  std::unique_ptr<DispatchLoop> dispatch_;
+  std::unique_ptr<ControlService> service_;
+  std::unique_ptr<LeaderRelay> relay_;
+  std::unique_ptr<AsyncHttpServer> control_;
+  std::unique_ptr<AsyncHttpServer> metrics_;
+  HttpHandler handle_caller_;
+  HttpHandler handle_control_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<RoleInstance>> StartControlInstance(
+    RoleSettings settings,
+    PlatformHooks hooks) {
+  auto instance =
+      std::make_unique<ControlInstance>(std::move(settings), std::move(hooks));
+  TRY(instance->Start());
+  return std::unique_ptr<RoleInstance>(std::move(instance));
+}
+
+}  // namespace bramleyrail
--- a/packages/bramleyraild/instance.cc
+++ b/packages/bramleyraild/instance.cc
@@ -142,15 +142,15 @@
 }
 
 Result<void> Instance::CreateEdges() {
-  PlatformServer::Options platform;
+  WorkerServer::Options platform;
   platform.listen_address = settings_.listen.platform.address;
   platform.port = settings_.listen.platform.port;
   platform.state = state_->Access();
   platform.deliver_reports = [this](std::vector<WorkerReport> reports) {
     DeliverWorkerReports(std::move(reports));
   };
-  TRY(platform_server, PlatformServer::Create(std::move(platform)));
-  platform_server_ = std::move(platform_server);
+  TRY(platform_server, WorkerServer::Create(std::move(platform)));
+  worker_server_ = std::move(platform_server);
 
   StatusReporter::Options status;
   status.settings = settings_;
@@ -242,7 +242,7 @@
   state_->replica().Start();
   leader_loop_->Start();
   TRY(request_plane_->Start());
-  platform_server_->Start();
+  worker_server_->Start();
   TRY(operator_server_->Start());
   health_server_->Start();
   startup_thread_ = std::thread([this] { RunStartup(); });
@@ -309,7 +309,7 @@
   std::this_thread::sleep_for(settings_.balancer_delay);
   state_->replica().TransferLeadership();
   request_plane_->BeginDrain();
-  platform_server_->BeginDrain();
+  worker_server_->BeginDrain();
   operator_server_->BeginDrain();
   const MonotonicTime deadline =
       std::chrono::steady_clock::now() + settings_.stop_deadline;
@@ -319,7 +319,7 @@
   }
   request_plane_->Stop(deadline);
   operator_server_->Stop();
-  platform_server_->Stop();
+  worker_server_->Stop();
   health_server_->Stop();
   leader_loop_->Stop();
   network_->Stop();
--- a/packages/bramleyraild/instance.h
+++ b/packages/bramleyraild/instance.h
@@ -18,7 +18,7 @@
 #include "packages/caller/caller.h"
 #include "packages/operator/operator.h"
 #include "packages/peer/peer.h"
-#include "packages/platform/platform.h"
+#include "packages/worker/worker.h"
 
 namespace bramleyrail {
 
@@ -68,7 +68,7 @@
   std::unique_ptr<ReplicatedState> state_;
   std::unique_ptr<LeaderLoop> leader_loop_;
   std::unique_ptr<RequestPlane> request_plane_;
-  std::unique_ptr<PlatformServer> platform_server_;
+  std::unique_ptr<WorkerServer> worker_server_;
   std::unique_ptr<StatusReporter> status_reporter_;
   std::unique_ptr<LiveTargetReporter> live_target_reporter_;
   std::unique_ptr<OperatorServer> operator_server_;
--- /dev/null
+++ b/packages/control/control.h
@@ -0,0 +1,14 @@
+#ifndef PACKAGES_CONTROL_CONTROL_H_
+#define PACKAGES_CONTROL_CONTROL_H_
+
+// Public header of the control package: the replicated job queues of a cluster,
+// what callers, operators and workers ask of their leader, and the way there.
+
+#include "packages/control/control_names.h"
+#include "packages/control/control_service.h"
+#include "packages/control/dispatch_loop.h"
+#include "packages/control/leader_relay.h"
+#include "packages/control/relayed_message.h"
+#include "packages/control/replicated_queue.h"
+
+#endif  // PACKAGES_CONTROL_CONTROL_H_
--- /dev/null
+++ b/packages/control/control_service.cc
@@ -0,0 +1,369 @@
+#include "packages/control/control_service.h"
+
+#include <utility>
+
+#include "packages/control/control_events.h"
+
+namespace bramleyrail {
+
+namespace {
+
+Error NotLeading() {
+  return MakeError(ErrorKind::kUnavailable, "this instance does not lead",
+                   "ask the leader");
+}
+
+Error NoSuchQueue(const ControlService::QueuePath& path) {
+  return MakeError(ErrorKind::kNotFound,
+                   "no queue at '" + path.host + path.path + "'",
+                   "check the host and the path against the configuration");
+}
+
+JobView ViewOf(JobOutcome outcome, bool started) {
+  switch (outcome) {
+    case JobOutcome::kOpen:
+      return started ? JobView::kRunning : JobView::kQueued;
+    case JobOutcome::kCompleted:
+      return JobView::kCompleted;
+    case JobOutcome::kFailed:
+      return JobView::kFailed;
+    case JobOutcome::kCancelled:
+      return JobView::kCancelled;
+  }
+  return JobView::kQueued;
+}
+
+}  // namespace
+
+ControlService::ControlService(IoLoop* loop,
+                               ReplicatedQueue* queue,
+                               DispatchLoop* dispatch)
+    : loop_(loop),
+      queue_(queue),
+      dispatch_(dispatch),
+      alive_(std::make_shared<bool>(true)) {}
+
+ControlService::~ControlService() {
+  *alive_ = false;
+}
+
+bool ControlService::IsLeaderNow() const {
+  return leads() && queue_->replica().IsLeader();
+}
+
+void ControlService::Propose(QueueCommandBody body,
+                             Callback<QueueOutcome> callback) {
+  queue_->Propose(std::move(body), [loop = loop_, alive = alive_,
+                                    callback = std::move(callback)](
+                                       Result<QueueOutcome> outcome) {
+    loop->Post([alive, callback, outcome = std::move(outcome)] {
+      if (*alive) {
+        callback(outcome);
+      }
+    });
+  });
+}
+
+Result<ControlService::Place> ControlService::FindPlace(
+    const QueuePath& path) const {
+  return queue_->Read([&path](const QueueState& state) -> Result<Place> {
+    const JobQueue* queue =
+        state.configuration().FindQueue(path.host, path.path);
+    if (queue == nullptr) {
+      if (state.configuration().version == 0) {
+        return MakeError(ErrorKind::kUnavailable, "there is no configuration",
+                         "put one first");
+      }
+      return NoSuchQueue(path);
+    }
+    return Place{*queue, path.path.substr(queue->path_prefix.size())};
+  });
+}
+
+void ControlService::Submit(const QueuePath& path,
+                            JobSpecification job,
+                            Callback<void> callback) {
+  const auto place = FindPlace(path);
+  if (!IsLeaderNow() || !place) {
+    callback(place ? NotLeading() : place.error());
+    return;
+  }
+  Result<void> valid = ValidateRequestId(place.value().job);
+  if (valid) {
+    valid = ValidateJob(job);
+  }
+  if (!valid) {
+    callback(valid.error());
+    return;
+  }
+  const JobQueue& queue = place.value().queue;
+  SubmitJob command;
+  command.id = place.value().job;
+  command.queue = queue.name;
+  command.pool = queue.pool;
+  command.maximum_attempts = queue.maximum_attempts;
+  command.priority = queue.priority;
+  command.stretch_factor = queue.stretch_factor;
+  command.target_latency_ms = queue.target_latency_ms;
+  command.job = std::move(job);
+  const std::string id = command.id;
+  Propose(std::move(command), [id, name = queue.name,
+                               callback = std::move(callback)](
+                                  const Result<QueueOutcome>& outcome) {
+    if (!outcome) {
+      LogEvent(kJobNotAccepted, {{"job", id},
+                                 {"queue", name},
+                                 {"error", outcome.error().ToString()}});
+      callback(outcome.error());
+      return;
+    }
+    LogEvent(kJobAccepted,
+             {{"job", id}, {"queue", name}, {"new", outcome.value().changed}});
+    callback(Success());
+  });
+}
+
+void ControlService::ReadJob(const QueuePath& path,
+                             const Callback<std::optional<JobView>>& callback) {
+  const auto place = FindPlace(path);
+  if (!place) {
+    callback(IsLeaderNow() ? place.error() : NotLeading());
+    return;
+  }
+  const std::string& id = place.value().job;
+  const auto outcome =
+      queue_->Read([&id](const QueueState& state) -> std::optional<JobOutcome> {
+        const QueuedJob* job = state.FindJob(id);
+        return job == nullptr ? std::nullopt
+                              : std::optional<JobOutcome>(job->outcome);
+      });
+  // Checked after the read: a later leader may know of more jobs.
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  if (!outcome) {
+    callback(std::optional<JobView>());
+    return;
+  }
+  callback(std::optional<JobView>(
+      ViewOf(*outcome, dispatch_->dispatcher()->HasStarted(id))));
+}
+
+void ControlService::Cancel(const QueuePath& path, Callback<bool> callback) {
+  const auto place = FindPlace(path);
+  if (!IsLeaderNow() || !place) {
+    callback(place ? NotLeading() : place.error());
+    return;
+  }
+  const std::string id = place.value().job;
+  Propose(CancelQueuedJob{id}, [id, callback = std::move(callback)](
+                                   const Result<QueueOutcome>& outcome) {
+    if (!outcome) {
+      callback(outcome.error());
+      return;
+    }
+    LogEvent(kJobCancelled, {{"job", id},
+                             {"known", outcome.value().found},
+                             {"changed", outcome.value().changed}});
+    callback(outcome.value().found);
+  });
+}
+
+void ControlService::CountPending(const QueuePath& path,
+                                  const Callback<int64_t>& callback) {
+  const auto place = FindPlace(path);
+  if (!place || !IsLeaderNow()) {
+    callback(IsLeaderNow() ? place.error() : NotLeading());
+    return;
+  }
+  const std::string& name = place.value().queue.name;
+  const Dispatcher& dispatcher = *dispatch_->dispatcher();
+  const int64_t pending = queue_->Read([&](const QueueState& state) {
+    int64_t count = 0;
+    for (const auto& [id, job] : state.jobs()) {
+      const bool waits = job->outcome == JobOutcome::kOpen &&
+                         job->queue == name && !dispatcher.HasStarted(id);
+      count += waits ? 1 : 0;
+    }
+    return count;
+  });
+  callback(pending);
+}
+
+void ControlService::ReplaceConfiguration(QueueConfiguration configuration,
+                                          Callback<void> callback) {
+  if (const auto valid = ValidateQueues(configuration); !valid) {
+    LogEvent(kConfigurationOrdered, {{"version", configuration.version},
+                                     {"accepted", false},
+                                     {"error", valid.error().ToString()}});
+    callback(valid.error());
+    return;
+  }
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  const int64_t version = configuration.version;
+  Propose(bramleyrail::ReplaceConfiguration{std::move(configuration)},
+          [version, callback = std::move(callback)](
+              const Result<QueueOutcome>& outcome) {
+            LogEvent(kConfigurationOrdered,
+                     {{"version", version},
+                      {"accepted", outcome.has_value()},
+                      {"changed", outcome && outcome.value().changed}});
+            if (!outcome) {
+              callback(outcome.error());
+              return;
+            }
+            callback(Success());
+          });
+}
+
+void ControlService::ReadConfiguration(Callback<std::string> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  // A leader that was cut off or suspended may not know of its successor. An
+  // entry that commits after the call shows that the state is the newest.
+  Propose(ReadBarrier{}, [this, callback = std::move(callback)](
+                             const Result<QueueOutcome>& outcome) {
+    if (!outcome) {
+      callback(outcome.error());
+      return;
+    }
+    const auto text = queue_->Read(
+        [](const QueueState& state) { return state.configuration().text; });
+    if (text.empty()) {
+      callback(MakeError(ErrorKind::kUnavailable, "there is no configuration",
+                         "put one first"));
+      return;
+    }
+    callback(text);
+  });
+}
+
+void ControlService::SetEvacuated(std::string failure_domain,
+                                  bool evacuated,
+                                  Callback<void> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  Propose(bramleyrail::SetEvacuated{failure_domain, evacuated},
+          [failure_domain, evacuated, callback = std::move(callback)](
+              const Result<QueueOutcome>& outcome) {
+            LogEvent(kEvacuationOrdered, {{"failure_domain", failure_domain},
+                                          {"evacuated", evacuated},
+                                          {"accepted", outcome.has_value()}});
+            if (!outcome) {
+              callback(outcome.error());
+              return;
+            }
+            callback(Success());
+          });
+}
+
+void ControlService::HandleHeartbeat(WorkerHeartbeat heartbeat,
+                                     Callback<void> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  WorkerRegistration& registration = heartbeat.registration;
+  auto& [life, sequence] = heartbeats_[registration.id];
+  const std::pair newest(registration.started_unix_ms, heartbeat.sequence);
+  if (newest < std::pair(life, sequence)) {
+    callback(Success());  // Overtaken on its way; it needs no other answer.
+    return;
+  }
+  std::tie(life, sequence) = newest;
+  dispatch_->ObserveClock(registration.id, registration.started_unix_ms,
+                          heartbeat.clock_ms);
+  const bool known = queue_->Read([&registration](const QueueState& state) {
+    const auto found = state.workers().find(registration.id);
+    return found != state.workers().end() && found->second == registration;
+  });
+  if (known) {
+    callback(Success());
+    return;
+  }
+  LogEvent(kWorkerRegistered,
+           {{"worker", registration.id},
+            {"started_unix_ms", registration.started_unix_ms},
+            {"address", registration.address},
+            {"pool", registration.pool},
+            {"failure_domain", registration.failure_domain},
+            {"draining", registration.draining},
+            {"sequence", heartbeat.sequence}});
+  Propose(
+      PutWorker{std::move(registration)},
+      [callback = std::move(callback)](const Result<QueueOutcome>& outcome) {
+        if (!outcome) {
+          callback(outcome.error());
+          return;
+        }
+        callback(Success());
+      });
+}
+
+void ControlService::RemoveWorker(std::string id, Callback<void> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  Propose(bramleyrail::RemoveWorker{id, 0},
+          [id, callback =
+                   std::move(callback)](const Result<QueueOutcome>& outcome) {
+            LogEvent(kWorkerWithdrawn,
+                     {{"worker", id}, {"accepted", outcome.has_value()}});
+            if (!outcome) {
+              callback(outcome.error());
+              return;
+            }
+            callback(Success());
+          });
+}
+
+void ControlService::StartWave(UpkeepWave wave, Callback<void> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  const int64_t number = wave.number;
+  Propose(bramleyrail::StartWave{std::move(wave)},
+          [number, callback = std::move(callback)](
+              const Result<QueueOutcome>& outcome) {
+            LogEvent(kWaveOrdered,
+                     {{"wave", number}, {"accepted", outcome.has_value()}});
+            if (!outcome) {
+              callback(outcome.error());
+              return;
+            }
+            callback(Success());
+          });
+}
+
+void ControlService::ReadWave(int64_t number, Callback<bool> callback) {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  const auto completed =
+      queue_->Read([number](const QueueState& state) -> std::optional<bool> {
+        const auto found = state.waves().find(number);
+        if (found == state.waves().end()) {
+          return std::nullopt;
+        }
+        return found->second.finished.size() >= found->second.machines.size();
+      });
+  if (!completed) {
+    callback(MakeError(ErrorKind::kNotFound, "no such wave",
+                       "check the number of the wave"));
+    return;
+  }
+  callback(*completed);
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/dispatch/dispatch_events.h
@@ -0,0 +1,39 @@
+#ifndef PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
+#define PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+inline constexpr LogEventDefinition kLeadershipBegun{9201, LogSeverity::kInfo,
+                                                     "leadership_begun"};
+inline constexpr LogEventDefinition kRunStarted{9202, LogSeverity::kInfo,
+                                                "run_started"};
+inline constexpr LogEventDefinition kRunRefused{9203, LogSeverity::kWarning,
+                                                "run_refused"};
+inline constexpr LogEventDefinition kRunEnded{9204, LogSeverity::kInfo,
+                                              "run_ended"};
+inline constexpr LogEventDefinition kRunAdopted{9205, LogSeverity::kInfo,
+                                                "run_adopted"};
+inline constexpr LogEventDefinition kRunStopOrdered{9206, LogSeverity::kInfo,
+                                                    "run_stop_ordered"};
+inline constexpr LogEventDefinition kRunsLost{9207, LogSeverity::kWarning,
+                                              "runs_lost"};
+inline constexpr LogEventDefinition kWorkerUnreachable{
+    9208, LogSeverity::kWarning, "worker_unreachable"};
+inline constexpr LogEventDefinition kWorkerReachable{9209, LogSeverity::kInfo,
+                                                     "worker_reachable"};
+inline constexpr LogEventDefinition kWorkerAvoided{9210, LogSeverity::kWarning,
+                                                   "worker_avoided"};
+inline constexpr LogEventDefinition kRunPaced{9211, LogSeverity::kInfo,
+                                              "run_paced"};
+inline constexpr LogEventDefinition kJobTracked{9212, LogSeverity::kInfo,
+                                                "job_tracked"};
+inline constexpr LogEventDefinition kJobClosed{9213, LogSeverity::kInfo,
+                                               "job_closed"};
+inline constexpr LogEventDefinition kWorkersKnownAgain{9214, LogSeverity::kInfo,
+                                                       "workers_known_again"};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
--- /dev/null
+++ b/packages/dispatch/worker_choice.cc
@@ -0,0 +1,129 @@
+#include "packages/dispatch/worker_choice.h"
+
+#include <algorithm>
+
+namespace bramleyrail {
+
+namespace {
+
+// A worker whose last answer is older takes no new runs. It covers the longest
+// wait of a look and a round trip between regions.
+constexpr Milliseconds kReachableLimit{2'000};
+
+// Weights of a score, in shares of a worker's processors. Data on another rack
+// doubles a run time, so it weighs more than any load; the way to another
+// region costs 60 ms of a task of about a second.
+constexpr double kOtherRackWeight = 4.0;
+constexpr double kOtherRegionWeight = 0.1;
+constexpr double kFailedThereWeight = 8.0;
+// For each failure in a row on the worker.
+constexpr double kFailureWeight = 1.0;
+// Spare capacity beside a run with a target latency disturbs it.
+constexpr double kBesideTargetWeight = 0.5;
+// Reserved processors that are in use on average; spare capacity is the rest.
+constexpr double kReservedUse = 0.6;
+
+bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
+  return std::find(worker.labels.begin(), worker.labels.end(), label) !=
+         worker.labels.end();
+}
+
+bool HasRoom(const WorkerTrack& worker, const JobStep& step) {
+  ResourceAmounts needed = worker.reserved();
+  const ResourceAmounts& capacity = worker.registration().capacity;
+  needed.memory_mib += step.size.memory_mib;
+  needed.accelerators += step.size.accelerators;
+  if (!step.uses_spare_capacity) {
+    needed.processor_millis += step.size.processor_millis;
+  }
+  return needed.FitsInto(capacity);
+}
+
+}  // namespace
+
+bool WorkerChoice::IsUsable(const WorkerTrack& worker,
+                            const std::string& pool,
+                            const std::set<std::string>& evacuated,
+                            MonotonicTime now) {
+  const WorkerRegistration& registration = worker.registration();
+  return worker.heard && !worker.leaving && !registration.draining &&
+         registration.pool == pool &&
+         !evacuated.contains(registration.failure_domain) &&
+         now - worker.last_answer < kReachableLimit &&
+         now >= worker.avoid_until;
+}
+
+double WorkerChoice::Score(const RunRequest& request,
+                           const WorkerTrack& worker,
+                           MonotonicTime now) const {
+  const JobStep& step = *request.step;
+  const WorkerRegistration& registration = worker.registration();
+  const auto capacity = static_cast<double>(
+      std::max<int64_t>(registration.capacity.processor_millis, 1));
+  const auto reserved = static_cast<double>(worker.reserved().processor_millis);
+  const auto spare = static_cast<double>(worker.spare_processor_millis());
+  double score = kFailureWeight * worker.consecutive_failures;
+  if (step.uses_spare_capacity) {
+    const double left = std::max(capacity - kReservedUse * reserved, 1.0);
+    score += (spare + static_cast<double>(step.size.processor_millis)) / left;
+    if (worker.HasTarget()) {
+      score += kBesideTargetWeight;
+    }
+    if (now < worker.avoid_spare_until) {
+      score += kOtherRackWeight;
+    }
+  } else {
+    score +=
+        (reserved + static_cast<double>(step.size.processor_millis)) / capacity;
+    if (step.target_latency_ms > 0) {
+      score += spare / capacity;
+    }
+  }
+  const auto region =
+      options_.region_of_failure_domain.find(registration.failure_domain);
+  if (region != options_.region_of_failure_domain.end() &&
+      region->second != options_.own_region) {
+    score += kOtherRegionWeight;
+  }
+  if (!request.preferred_rack.empty() &&
+      worker.rack() != request.preferred_rack) {
+    score += kOtherRackWeight;
+  }
+  if (!request.avoid_worker.empty() &&
+      request.avoid_worker == registration.id) {
+    score += kFailedThereWeight;
+  }
+  return score;
+}
+
+WorkerTrack* WorkerChoice::Choose(const RunRequest& request,
+                                  const WorkerTracks& workers,
+                                  const std::set<std::string>& evacuated,
+                                  MonotonicTime now) const {
+  const JobStep& step = *request.step;
+  WorkerTrack* best = nullptr;
+  double best_score = 0;
+  for (const auto& [id, worker] : workers) {
+    if (!IsUsable(*worker, request.job->pool, evacuated, now) ||
+        !HasRoom(*worker, step)) {
+      continue;
+    }
+    if (!step.required_label.empty() &&
+        !HasLabel(worker->registration(), step.required_label)) {
+      continue;
+    }
+    if (step.maximum_tasks_per_worker > 0 &&
+        worker->RunsOf(request.task.job, request.task.occurrence,
+                       request.task.step) >= step.maximum_tasks_per_worker) {
+      continue;
+    }
+    const double score = Score(request, *worker, now);
+    if (best == nullptr || score < best_score) {
+      best = worker.get();
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/dispatch/worker_order.cc
@@ -0,0 +1,35 @@
+#include "packages/dispatch/worker_order.h"
+
+namespace bramleyrail {
+
+std::string_view OrderOutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kRunTooOld:
+      return "run_too_old";
+    case OrderOutcome::kLeaseTooOld:
+      return "lease_too_old";
+    case OrderOutcome::kNoRoom:
+      return "no_room";
+    case OrderOutcome::kNoTicket:
+      return "no_ticket";
+    case OrderOutcome::kInvalid:
+      return "invalid";
+    case OrderOutcome::kUnhealthy:
+      return "unhealthy";
+    case OrderOutcome::kOtherLife:
+      return "other_life";
+    case OrderOutcome::kNotSent:
+      return "not_sent";
+    case OrderOutcome::kNobodyListens:
+      return "nobody_listens";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/http/http_events.h
@@ -0,0 +1,13 @@
+#ifndef PACKAGES_HTTP_HTTP_EVENTS_H_
+#define PACKAGES_HTTP_HTTP_EVENTS_H_
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+inline constexpr LogEventDefinition kHttpAcceptFailed{
+    9001, LogSeverity::kWarning, "http_accept_failed"};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_HTTP_HTTP_EVENTS_H_
--- /dev/null
+++ b/packages/http/http_message.h
@@ -0,0 +1,40 @@
+#ifndef PACKAGES_HTTP_HTTP_MESSAGE_H_
+#define PACKAGES_HTTP_HTTP_MESSAGE_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// Value of the first header of that name, in any case, or empty.
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
+
+struct HttpRequest {
+  std::string method;
+  std::string target;  // Path and query.
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;  // Besides length, type and connection.
+  std::string body;     // JSON, unless `content_type` says otherwise.
+  std::string content_type = "application/json";
+};
+
+using HttpResponder = std::function<void(HttpResponse)>;
+// Answers with the responder, once, from the thread of the loop. A responder
+// that is destroyed without a call closes the connection.
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_HTTP_HTTP_MESSAGE_H_
--- a/packages/peer/peer_loop.cc
+++ b/packages/peer/peer_loop.cc
@@ -38,10 +38,7 @@
       listener_(std::move(listener)),
       listen_port_(listen_port) {
   for (const PeerAddress& address : options_.peers) {
-    peers_.push_back(std::make_unique<PeerRecord>(address));
-    outgoing_.emplace(address.name, std::make_unique<OutgoingLink>(
-                                        event_loop_.get(), &options_,
-                                        &handlers_, peers_.back().get()));
+    InsertPeer(address);
   }
 }
 
@@ -77,9 +74,9 @@
 bool PeerLoop::Send(std::string_view peer,
                     PeerChannel channel,
                     std::span<const std::byte> payload) {
-  const auto link = outgoing_.find(peer);
-  return link != outgoing_.end() && payload.size() <= kMaximumPayloadBytes &&
-         link->second->Send(channel, payload);
+  OutgoingLink* const link = FindLink(peer);
+  return link != nullptr && payload.size() <= kMaximumPayloadBytes &&
+         link->Send(channel, payload);
 }
 
 void PeerLoop::Call(std::string_view peer,
@@ -88,16 +85,15 @@
                     Milliseconds timeout,
                     PeerCallCallback callback) {
   std::string reason;
-  const auto link = outgoing_.find(peer);
-  if (link == outgoing_.end()) {
+  OutgoingLink* const link = FindLink(peer);
+  if (link == nullptr) {
     reason = "is not known";
   } else if (payload.size() > kMaximumPayloadBytes) {
     reason = absl::StrCat("was not called: a payload of ", payload.size(),
                           " bytes exceeds the limit of ", kMaximumPayloadBytes);
   } else {
-    switch (link->second->Call(channel, payload,
-                               std::chrono::steady_clock::now() + timeout,
-                               &callback)) {
+    switch (link->Call(channel, payload,
+                       std::chrono::steady_clock::now() + timeout, &callback)) {
       case Outbox::PushOutcome::kQueued:
         return;
       case Outbox::PushOutcome::kFull:
@@ -119,6 +115,7 @@
 }
 
 std::vector<PeerStatus> PeerLoop::Statuses() const {
+  absl::ReaderMutexLock lock(&peers_mutex_);
   std::vector<PeerStatus> statuses;
   statuses.reserve(peers_.size());
   for (const auto& peer : peers_) {
@@ -168,7 +165,7 @@
     }
     incoming_.push_back(std::make_unique<IncomingLink>(
         event_loop_.get(), std::move(*accepted.value()), &options_, &handlers_,
-        [this](std::string_view name) { return FindPeer(name); }, now));
+        [this](std::string_view name) { return AdmitPeer(name); }, now));
   }
 }
 
@@ -222,6 +219,42 @@
   return found == peers_.end() ? nullptr : found->get();
 }
 
+PeerRecord* PeerLoop::AdmitPeer(std::string_view name) {
+  PeerRecord* const known = FindPeer(name);
+  if (known != nullptr || !options_.admit_unknown || !ValidateName(name)) {
+    return known;
+  }
+  const std::optional<SocketAddress> address = options_.admit_unknown(name);
+  return address ? InsertPeer({std::string(name), *address}) : nullptr;
+}
+
+PeerRecord* PeerLoop::InsertPeer(PeerAddress address) {
+  auto record = std::make_unique<PeerRecord>(address);
+  PeerRecord* const peer = record.get();
+  absl::MutexLock lock(&peers_mutex_);
+  if (address.address.port != 0) {
+    outgoing_.emplace(address.name,
+                      std::make_unique<OutgoingLink>(
+                          event_loop_.get(), &options_, &handlers_, peer));
+  }
+  peers_.push_back(std::move(record));
+  return peer;
+}
+
+void PeerLoop::AddPeer(PeerAddress peer) {
+  Post([this, peer = std::move(peer)] {
+    if (FindPeer(peer.name) == nullptr && peer.name != options_.self.name) {
+      InsertPeer(peer);
+    }
+  });
+}
+
+OutgoingLink* PeerLoop::FindLink(std::string_view peer) const {
+  absl::ReaderMutexLock lock(&peers_mutex_);
+  const auto link = outgoing_.find(peer);
+  return link == outgoing_.end() ? nullptr : link->second.get();
+}
+
 void PeerLoop::Post(std::function<void()> function) {
   {
     absl::MutexLock lock(&mutex_);
--- a/packages/peer/peer_loop.h
+++ b/packages/peer/peer_loop.h
@@ -47,6 +47,7 @@
             std::span<const std::byte> payload,
             Milliseconds timeout,
             PeerCallCallback callback);
+  void AddPeer(PeerAddress peer);
   std::vector<PeerStatus> Statuses() const;
   uint16_t listen_port() const { return listen_port_; }
   bool is_started() const { return thread_.joinable(); }
@@ -64,6 +65,10 @@
   MonotonicTime NextDeadline(MonotonicTime now) const;
   void Shutdown();
   PeerRecord* FindPeer(std::string_view name);
+  // The known peer, or one that the options admit, or nullptr.
+  PeerRecord* AdmitPeer(std::string_view name);
+  PeerRecord* InsertPeer(PeerAddress address);
+  OutgoingLink* FindLink(std::string_view peer) const;
   // Runs the function on the epoll thread, or at once when it has ended.
   void Post(std::function<void()> function);
   void RunPosted();
@@ -76,6 +81,9 @@
   uint32_t listener_events_ = 0;
   // Set while accepting is suspended.
   std::optional<MonotonicTime> accept_again_;
+  // Peers are only added, and only on the epoll thread or before it starts,
+  // which may therefore read without the lock.
+  mutable absl::Mutex peers_mutex_;
   std::vector<std::unique_ptr<PeerRecord>> peers_;
   std::map<std::string, std::unique_ptr<OutgoingLink>, std::less<>> outgoing_;
   std::vector<std::unique_ptr<IncomingLink>> incoming_;
--- a/packages/peer/peer_network.cc
+++ b/packages/peer/peer_network.cc
@@ -107,6 +107,10 @@
   loop_->Call(peer, channel, payload, timeout, std::move(callback));
 }
 
+void PeerNetwork::AddPeer(PeerAddress peer) {
+  loop_->AddPeer(std::move(peer));
+}
+
 std::vector<PeerStatus> PeerNetwork::Statuses() const {
   return loop_->Statuses();
 }
--- a/packages/peer/peer_network.h
+++ b/packages/peer/peer_network.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,6 +31,12 @@
     // the source address of the connections that are dialled.
     SocketAddress listen_address;
     std::vector<PeerAddress> peers;  // Without the instance itself.
+    // Decides on an instance that says hello and is not among the peers:
+    // nullopt refuses it; an address without a port accepts its calls only; any
+    // other address is dialled as that of a peer from then on. Runs on the
+    // thread of the network. Not set: all are refused.
+    std::function<std::optional<SocketAddress>(std::string_view name)>
+        admit_unknown;
   };
 
   // Checks the options and binds the listening socket. kInvalidArgument for
@@ -65,6 +73,9 @@
             Milliseconds timeout,
             PeerCallCallback callback);
 
+  // Dials an instance that is not among the peers yet.
+  void AddPeer(PeerAddress peer);
+
   std::vector<PeerStatus> Statuses() const;
   uint16_t ListenPort() const;
 
--- a/packages/peer/peer_types.cc
+++ b/packages/peer/peer_types.cc
@@ -12,6 +12,8 @@
       return "platform";
     case PeerChannel::kStatus:
       return "status";
+    case PeerChannel::kControl:
+      return "control";
   }
   BRAMLEYRAIL_ASSERT(false, "unknown peer channel");
 }
--- a/packages/peer/peer_types.h
+++ b/packages/peer/peer_types.h
@@ -20,9 +20,10 @@
   kRouting = 1,
   kPlatform = 2,
   kStatus = 3,
+  kControl = 4,
 };
 
-inline constexpr size_t kPeerChannelCount = 4;
+inline constexpr size_t kPeerChannelCount = 5;
 
 std::string_view PeerChannelName(PeerChannel channel);
 
--- /dev/null
+++ b/packages/queue/job_specification.cc
@@ -0,0 +1,45 @@
+#include "packages/queue/job_specification.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace bramleyrail {
+
+namespace {
+
+// Bounds the state that one submission can create.
+constexpr int64_t kMaximumTasksPerStep = 10'000;
+constexpr size_t kMaximumSteps = 100;
+constexpr int64_t kMaximumRepetitions = 1'000;
+
+}  // namespace
+
+Result<void> ValidateJob(const JobSpecification& job) {
+  std::vector<FieldFault> faults;
+  if (job.steps.empty() || job.steps.size() > kMaximumSteps) {
+    faults.push_back(
+        {"steps", absl::StrCat("list 1 to ", kMaximumSteps, " steps")});
+  }
+  if (job.repetitions < 0 || job.repetitions > kMaximumRepetitions) {
+    faults.push_back(
+        {"repetitions", absl::StrCat("must be 0 to ", kMaximumRepetitions)});
+  }
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    const JobStep& step = job.steps[i];
+    const std::string path = absl::StrCat("steps[", i, "]");
+    if (step.tasks < 1 || step.tasks > kMaximumTasksPerStep) {
+      faults.push_back({path, absl::StrCat("must have 1 to ",
+                                           kMaximumTasksPerStep, " tasks")});
+    }
+    for (const int64_t predecessor : step.predecessors) {
+      if (predecessor < 0 || predecessor >= static_cast<int64_t>(i)) {
+        faults.push_back({path, "may only wait for earlier steps"});
+      }
+    }
+  }
+  if (!faults.empty()) {
+    return MakeInvalidArgument("the job is not valid", std::move(faults));
+  }
+  return Success();
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/queue/queue.h
@@ -0,0 +1,15 @@
+#ifndef PACKAGES_QUEUE_QUEUE_H_
+#define PACKAGES_QUEUE_QUEUE_H_
+
+// Public header of the queue package: jobs that callers submit to queues, and
+// the replicated state that keeps them.
+
+#include "packages/queue/job_specification.h"
+#include "packages/queue/queue_command.h"
+#include "packages/queue/queue_configuration.h"
+#include "packages/queue/queue_state.h"
+#include "packages/queue/task_name.h"
+#include "packages/queue/upkeep_wave.h"
+#include "packages/queue/worker_registration.h"
+
+#endif  // PACKAGES_QUEUE_QUEUE_H_
--- /dev/null
+++ b/packages/queue/queue_codec.cc
@@ -0,0 +1,76 @@
+#include "packages/queue/queue_codec.h"
+
+namespace bramleyrail {
+
+namespace {
+
+constexpr int64_t kQueueSnapshotVersion = 1;
+
+}  // namespace
+
+std::vector<std::byte> EncodeQueueCommand(const QueueCommand& command) {
+  return codec::Encode(command);
+}
+
+Result<QueueCommand> DecodeQueueCommand(std::span<const std::byte> data) {
+  return codec::Decode<QueueCommand>(data, "the command");
+}
+
+std::vector<std::byte> EncodeQueueOutcome(const QueueOutcome& outcome) {
+  return codec::Encode(outcome);
+}
+
+Result<QueueOutcome> DecodeQueueOutcome(std::span<const std::byte> data) {
+  return codec::Decode<QueueOutcome>(data, "the outcome");
+}
+
+std::vector<std::byte> QueueState::EncodeSnapshot() const {
+  QueueSnapshot snapshot;
+  snapshot.version = kQueueSnapshotVersion;
+  snapshot.leadership = leadership_;
+  snapshot.configuration = configuration_;
+  snapshot.evacuated.assign(evacuated_.begin(), evacuated_.end());
+  for (const auto& [id, worker] : workers_) {
+    snapshot.workers.push_back(worker);
+  }
+  for (const auto& [id, job] : jobs_) {
+    JobRecord record{*job, {}};
+    for (const auto& [task, progress] : job->progress) {
+      record.progress.push_back({task, progress});
+    }
+    snapshot.jobs.push_back(std::move(record));
+  }
+  for (const auto& [number, wave] : waves_) {
+    snapshot.waves.push_back(wave);
+  }
+  return codec::Encode(snapshot);
+}
+
+Result<std::unique_ptr<QueueState>> QueueState::FromSnapshot(
+    std::span<const std::byte> data) {
+  TRY(snapshot, codec::Decode<QueueSnapshot>(data, "the snapshot of queues"));
+  if (snapshot.version != kQueueSnapshotVersion) {
+    return codec::DamagedError("the snapshot of queues of another version");
+  }
+  auto state = std::make_unique<QueueState>();
+  state->leadership_ = snapshot.leadership;
+  state->configuration_ = std::move(snapshot.configuration);
+  state->evacuated_.insert(snapshot.evacuated.begin(),
+                           snapshot.evacuated.end());
+  for (WorkerRegistration& worker : snapshot.workers) {
+    state->workers_[worker.id] = std::move(worker);
+  }
+  for (JobRecord& record : snapshot.jobs) {
+    auto job = std::make_shared<QueuedJob>(std::move(record.job));
+    for (ProgressRecord& entry : record.progress) {
+      job->progress[entry.task] = std::move(entry.progress);
+    }
+    state->jobs_[job->id] = std::move(job);
+  }
+  for (UpkeepWave& wave : snapshot.waves) {
+    state->waves_[wave.number] = std::move(wave);
+  }
+  return state;
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/queue/queue_codec.h
@@ -0,0 +1,149 @@
+#ifndef PACKAGES_QUEUE_QUEUE_CODEC_H_
+#define PACKAGES_QUEUE_QUEUE_CODEC_H_
+
+// Internal to the queue package: how its types are stored, see cbor_codec.h.
+
+#include <tuple>
+
+#include "packages/base/base.h"
+#include "packages/queue/queue_command.h"
+#include "packages/queue/queue_state.h"
+
+namespace bramleyrail::codec {
+
+template <>
+inline constexpr int64_t kEnumSize<RunEnd> = 3;
+template <>
+inline constexpr int64_t kEnumSize<JobOutcome> = 4;
+
+}  // namespace bramleyrail::codec
+
+namespace bramleyrail {
+
+struct ProgressRecord {
+  TaskName task;
+  TaskProgress progress;
+};
+
+struct JobRecord {
+  QueuedJob job;
+  std::vector<ProgressRecord> progress;
+};
+
+struct QueueSnapshot {
+  int64_t version = 0;
+  int64_t leadership = 0;
+  QueueConfiguration configuration;
+  std::vector<std::string> evacuated;
+  std::vector<WorkerRegistration> workers;
+  std::vector<JobRecord> jobs;
+  std::vector<UpkeepWave> waves;
+};
+
+auto Fields(codec::Is<JobStep> auto& v) {
+  return std::tie(
+      v.tasks, v.size.processor_millis, v.size.memory_mib, v.size.accelerators,
+      v.estimated_ms, v.predecessors, v.checkpointing, v.gang,
+      v.tightly_coupled, v.speculative, v.long_running, v.uses_spare_capacity,
+      v.required_label, v.data_rack, v.image, v.maximum_tasks_per_worker,
+      v.target_latency_ms, v.interruption_budget, v.has_interruption_budget);
+}
+auto Fields(codec::Is<JobSpecification> auto& v) {
+  return std::tie(v.payload, v.steps, v.repetitions, v.first_unix_ms,
+                  v.interval_ms);
+}
+auto Fields(codec::Is<TaskName> auto& v) {
+  return std::tie(v.job, v.occurrence, v.step, v.index);
+}
+auto Fields(codec::Is<PlacementAdvice> auto& v) {
+  return std::tie(v.decide_ms, v.per_worker_ms, v.ticket_valid_ms);
+}
+auto Fields(codec::Is<JobQueue> auto& v) {
+  return std::tie(v.name, v.host, v.path_prefix, v.pool, v.timeout_ms,
+                  v.priority, v.maximum_attempts, v.stretch_factor,
+                  v.target_latency_ms, v.advice);
+}
+auto Fields(codec::Is<WorkerPool> auto& v) {
+  return std::tie(v.name, v.health_path, v.refuses_overcommitment, v.standby);
+}
+auto Fields(codec::Is<QueueConfiguration> auto& v) {
+  return std::tie(v.version, v.text, v.queues, v.pools);
+}
+auto Fields(codec::Is<WorkerRegistration> auto& v) {
+  return std::tie(v.id, v.started_unix_ms, v.machine, v.address, v.pool,
+                  v.failure_domain, v.labels, v.capacity.processor_millis,
+                  v.capacity.memory_mib, v.capacity.accelerators, v.draining);
+}
+auto Fields(codec::Is<UpkeepWave> auto& v) {
+  return std::tie(v.number, v.machines, v.duration_ms, v.maximum_at_once,
+                  v.started_unix_ms, v.finished);
+}
+auto Fields(codec::Is<BeginLeadership> auto& v) {
+  return std::tie(v.instance);
+}
+auto Fields(codec::Is<ReplaceConfiguration> auto& v) {
+  return std::tie(v.configuration);
+}
+auto Fields(codec::Is<SetEvacuated> auto& v) {
+  return std::tie(v.failure_domain, v.evacuated);
+}
+auto Fields(codec::Is<PutWorker> auto& v) {
+  return std::tie(v.registration);
+}
+auto Fields(codec::Is<RemoveWorker> auto& v) {
+  return std::tie(v.id, v.started_unix_ms);
+}
+auto Fields(codec::Is<SubmitJob> auto& v) {
+  return std::tie(v.id, v.queue, v.pool, v.maximum_attempts, v.priority,
+                  v.stretch_factor, v.target_latency_ms, v.job);
+}
+auto Fields(codec::Is<CancelQueuedJob> auto& v) {
+  return std::tie(v.id);
+}
+auto Fields(codec::Is<TaskRunEnd> auto& v) {
+  return std::tie(v.task, v.run, v.end, v.checkpoint);
+}
+auto Fields(codec::Is<RecordRunEnds> auto& v) {
+  return std::tie(v.ends);
+}
+auto Fields(codec::Is<ForgetJobsBefore> auto& v) {
+  return std::tie(v.unix_ms);
+}
+auto Fields(codec::Is<StartWave> auto& v) {
+  return std::tie(v.wave);
+}
+auto Fields(codec::Is<FinishWaveMachine> auto& v) {
+  return std::tie(v.wave, v.machine);
+}
+auto Fields(codec::Is<ReadBarrier> auto& v) {
+  return std::tie(v.unused);
+}
+auto Fields(codec::Is<QueueCommand> auto& v) {
+  return std::tie(v.proposed_unix_ms, v.body);
+}
+auto Fields(codec::Is<QueueOutcome> auto& v) {
+  return std::tie(v.found, v.changed, v.leadership);
+}
+auto Fields(codec::Is<TaskProgress> auto& v) {
+  return std::tie(v.done, v.failed_runs, v.checkpoint_run, v.checkpoint);
+}
+auto Fields(codec::Is<ProgressRecord> auto& v) {
+  return std::tie(v.task, v.progress);
+}
+auto Fields(codec::Is<QueuedJob> auto& v) {
+  return std::tie(v.id, v.queue, v.pool, v.maximum_attempts, v.priority,
+                  v.stretch_factor, v.target_latency_ms, v.job,
+                  v.submitted_unix_ms, v.ended_unix_ms, v.outcome,
+                  v.tasks_left);
+}
+auto Fields(codec::Is<JobRecord> auto& v) {
+  return std::tie(v.job, v.progress);
+}
+auto Fields(codec::Is<QueueSnapshot> auto& v) {
+  return std::tie(v.version, v.leadership, v.configuration, v.evacuated,
+                  v.workers, v.jobs, v.waves);
+}
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_QUEUE_QUEUE_CODEC_H_
--- /dev/null
+++ b/packages/queue/queue_configuration.cc
@@ -0,0 +1,65 @@
+#include "packages/queue/queue_configuration.h"
+
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace bramleyrail {
+
+const JobQueue* QueueConfiguration::FindQueue(std::string_view host,
+                                              std::string_view path) const {
+  const JobQueue* best = nullptr;
+  for (const JobQueue& queue : queues) {
+    if (queue.host == host && path.starts_with(queue.path_prefix) &&
+        (best == nullptr ||
+         queue.path_prefix.size() > best->path_prefix.size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const JobQueue* QueueConfiguration::FindQueueByName(
+    std::string_view name) const {
+  for (const JobQueue& queue : queues) {
+    if (queue.name == name) {
+      return &queue;
+    }
+  }
+  return nullptr;
+}
+
+const WorkerPool* QueueConfiguration::FindPool(std::string_view name) const {
+  for (const WorkerPool& pool : pools) {
+    if (pool.name == name) {
+      return &pool;
+    }
+  }
+  return nullptr;
+}
+
+Result<void> ValidateQueues(const QueueConfiguration& configuration) {
+  std::vector<FieldFault> faults;
+  std::set<std::pair<std::string, std::string>> places;
+  for (const JobQueue& queue : configuration.queues) {
+    const std::string path = absl::StrCat("queue '", queue.name, "'");
+    if (configuration.FindPool(queue.pool) == nullptr) {
+      faults.push_back(
+          {path, absl::StrCat("names the unknown pool '", queue.pool, "'")});
+    }
+    if (!places.emplace(queue.host, queue.path_prefix).second) {
+      faults.push_back({path, "repeats the host and prefix of another queue"});
+    }
+    if (queue.timeout_ms <= 0) {
+      faults.push_back({path, "must have a timeout above 0"});
+    }
+  }
+  if (!faults.empty()) {
+    return MakeInvalidArgument("the configuration is not valid",
+                               std::move(faults));
+  }
+  return Success();
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/queue/queue_state.cc
@@ -0,0 +1,213 @@
+#include "packages/queue/queue_state.h"
+
+#include <algorithm>
+
+namespace bramleyrail {
+
+namespace {
+
+int64_t TaskCount(const JobSpecification& job) {
+  int64_t tasks = 0;
+  for (const JobStep& step : job.steps) {
+    tasks += step.tasks;
+  }
+  return tasks * job.Occurrences();
+}
+
+bool NamesTaskOf(const JobSpecification& job, const TaskName& task) {
+  return task.occurrence < job.Occurrences() &&
+         task.step < static_cast<int64_t>(job.steps.size()) &&
+         task.index < job.steps[task.step].tasks;
+}
+
+}  // namespace
+
+QueueOutcome QueueState::Apply(const QueueCommand& command) {
+  return std::visit(
+      [&](const auto& body) { return Handle(body, command.proposed_unix_ms); },
+      command.body);
+}
+
+const QueuedJob* QueueState::FindJob(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+QueueOutcome QueueState::Handle(const BeginLeadership&, int64_t) {
+  return {.found = true, .changed = true, .leadership = ++leadership_};
+}
+
+QueueOutcome QueueState::Handle(const ReplaceConfiguration& command, int64_t) {
+  if (command.configuration.version <= configuration_.version) {
+    return {.found = true};
+  }
+  configuration_ = command.configuration;
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const SetEvacuated& command, int64_t) {
+  const bool changed = command.evacuated
+                           ? evacuated_.insert(command.failure_domain).second
+                           : evacuated_.erase(command.failure_domain) > 0;
+  return {.found = true, .changed = changed};
+}
+
+QueueOutcome QueueState::Handle(const PutWorker& command, int64_t) {
+  const WorkerRegistration& added = command.registration;
+  const auto current = workers_.find(added.id);
+  // A heartbeat of an earlier life may arrive after the later one registered.
+  if (current != workers_.end() &&
+      added.started_unix_ms < current->second.started_unix_ms) {
+    return {.found = true};
+  }
+  // An address belongs to one process, so an older worker there is gone.
+  std::erase_if(workers_, [&](const auto& item) {
+    return item.first != added.id && item.second.address == added.address &&
+           item.second.started_unix_ms <= added.started_unix_ms;
+  });
+  WorkerRegistration& stored = workers_[added.id];
+  const bool changed = !(stored == added);
+  stored = added;
+  return {.found = true, .changed = changed};
+}
+
+QueueOutcome QueueState::Handle(const RemoveWorker& command, int64_t) {
+  const auto current = workers_.find(command.id);
+  if (current == workers_.end() ||
+      (command.started_unix_ms != 0 &&
+       current->second.started_unix_ms != command.started_unix_ms)) {
+    return {};
+  }
+  workers_.erase(current);
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const SubmitJob& command, int64_t unix_ms) {
+  auto [position, inserted] = jobs_.try_emplace(command.id);
+  if (!inserted) {
+    return {.found = true};
+  }
+  auto job = std::make_shared<QueuedJob>();
+  job->id = command.id;
+  job->queue = command.queue;
+  job->pool = command.pool;
+  job->maximum_attempts = command.maximum_attempts;
+  job->priority = command.priority;
+  job->stretch_factor = command.stretch_factor;
+  job->target_latency_ms = command.target_latency_ms;
+  job->job = command.job;
+  job->submitted_unix_ms = unix_ms;
+  job->tasks_left = TaskCount(command.job);
+  position->second = std::move(job);
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const CancelQueuedJob& command,
+                                int64_t unix_ms) {
+  const auto found = jobs_.find(command.id);
+  if (found == jobs_.end()) {
+    return {};
+  }
+  if (found->second->outcome != JobOutcome::kOpen) {
+    return {.found = true};
+  }
+  EndJob(found->second.get(), JobOutcome::kCancelled, unix_ms);
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const RecordRunEnds& command, int64_t unix_ms) {
+  for (const TaskRunEnd& end : command.ends) {
+    const auto found = jobs_.find(end.task.job);
+    if (found != jobs_.end() && found->second->outcome == JobOutcome::kOpen &&
+        NamesTaskOf(found->second->job, end.task)) {
+      Record(end, found->second.get(), unix_ms);
+    }
+  }
+  return {.found = true, .changed = !command.ends.empty()};
+}
+
+void QueueState::Record(const TaskRunEnd& end,
+                        QueuedJob* job,
+                        int64_t unix_ms) {
+  const JobStep& step = job->job.steps[end.task.step];
+  if (end.end == RunEnd::kDone && !step.long_running) {
+    MarkDone(end.task, job);
+  }
+  TaskName counted = end.task;
+  counted.index = step.gang ? 0 : counted.index;
+  TaskProgress& progress = job->progress[counted];
+  if (end.end == RunEnd::kFailed && !progress.done &&
+      std::find(progress.failed_runs.begin(), progress.failed_runs.end(),
+                end.run) == progress.failed_runs.end()) {
+    progress.failed_runs.push_back(end.run);
+  }
+  if (!end.checkpoint.empty() && end.run >= progress.checkpoint_run) {
+    progress.checkpoint_run = end.run;
+    progress.checkpoint = end.checkpoint;
+  }
+  const auto failures = static_cast<int64_t>(progress.failed_runs.size());
+  if (job->tasks_left == 0) {
+    EndJob(job, JobOutcome::kCompleted, unix_ms);
+  } else if (!step.long_running && failures >= job->maximum_attempts) {
+    EndJob(job, JobOutcome::kFailed, unix_ms);
+  }
+}
+
+void QueueState::MarkDone(const TaskName& task, QueuedJob* job) {
+  const JobStep& step = job->job.steps[task.step];
+  // The end of one member stands for the whole gang.
+  const int64_t first = step.gang ? 0 : task.index;
+  const int64_t last = step.gang ? step.tasks - 1 : task.index;
+  for (int64_t index = first; index <= last; ++index) {
+    TaskName member = task;
+    member.index = index;
+    TaskProgress& progress = job->progress[member];
+    job->tasks_left -= progress.done ? 0 : 1;
+    progress.done = true;
+  }
+}
+
+void QueueState::EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms) {
+  job->outcome = outcome;
+  job->ended_unix_ms = unix_ms;
+  job->progress.clear();
+  job->job.payload.clear();
+}
+
+QueueOutcome QueueState::Handle(const ForgetJobsBefore& command, int64_t) {
+  const size_t erased = std::erase_if(jobs_, [&](const auto& item) {
+    return item.second->outcome != JobOutcome::kOpen &&
+           item.second->ended_unix_ms < command.unix_ms;
+  });
+  return {.found = true, .changed = erased > 0};
+}
+
+QueueOutcome QueueState::Handle(const StartWave& command, int64_t unix_ms) {
+  auto [position, inserted] = waves_.try_emplace(command.wave.number);
+  if (!inserted) {
+    return {.found = true};
+  }
+  position->second = command.wave;
+  position->second.started_unix_ms = unix_ms;
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const FinishWaveMachine& command, int64_t) {
+  const auto found = waves_.find(command.wave);
+  if (found == waves_.end()) {
+    return {};
+  }
+  std::vector<std::string>& finished = found->second.finished;
+  if (std::find(finished.begin(), finished.end(), command.machine) !=
+      finished.end()) {
+    return {.found = true};
+  }
+  finished.push_back(command.machine);
+  return {.found = true, .changed = true};
+}
+
+QueueOutcome QueueState::Handle(const ReadBarrier&, int64_t) {
+  return {.found = true};
+}
+
+}  // namespace bramleyrail
--- a/packages/replication/replica_options.h
+++ b/packages/replication/replica_options.h
@@ -28,7 +28,7 @@
   // Names of all instances, which may include the own one.
   std::vector<std::string> peers;
   uint64_t seed = 0;
-  MonotonicClock clock = SystemMonotonicClock();
+  MonotonicClock clock = BootTimeNow;
   // A proposal that is not committed within this time fails. It covers one
   // election, which takes 1 to 2 s.
   Milliseconds propose_timeout{5000};
--- a/packages/platform/change_notifier.cc
+++ b/packages/worker/change_notifier.cc
@@ -1,7 +1,7 @@
-#include "packages/platform/change_notifier.h"
+#include "packages/worker/change_notifier.h"
 
 #include "absl/time/time.h"
-#include "packages/platform/worker_view.h"
+#include "packages/worker/worker_view.h"
 
 namespace bramleyrail {
 
--- a/packages/platform/change_notifier.h
+++ b/packages/worker/change_notifier.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_CHANGE_NOTIFIER_H_
-#define PACKAGES_PLATFORM_CHANGE_NOTIFIER_H_
+#ifndef PACKAGES_WORKER_CHANGE_NOTIFIER_H_
+#define PACKAGES_WORKER_CHANGE_NOTIFIER_H_
 
 #include <cstdint>
 #include <list>
@@ -56,4 +56,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_CHANGE_NOTIFIER_H_
+#endif  // PACKAGES_WORKER_CHANGE_NOTIFIER_H_
--- a/packages/platform/fakes/attempt_log.cc
+++ b/packages/worker/fakes/attempt_log.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/fakes/attempt_log.h"
+#include "packages/worker/fakes/attempt_log.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/packages/platform/fakes/attempt_log.h
+++ b/packages/worker/fakes/attempt_log.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_FAKES_ATTEMPT_LOG_H_
-#define PACKAGES_PLATFORM_FAKES_ATTEMPT_LOG_H_
+#ifndef PACKAGES_WORKER_FAKES_ATTEMPT_LOG_H_
+#define PACKAGES_WORKER_FAKES_ATTEMPT_LOG_H_
 
 #include <string>
 #include <string_view>
@@ -37,4 +37,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_FAKES_ATTEMPT_LOG_H_
+#endif  // PACKAGES_WORKER_FAKES_ATTEMPT_LOG_H_
--- a/packages/platform/fakes/local_instance.cc
+++ b/packages/worker/fakes/local_instance.cc
@@ -1,10 +1,10 @@
-#include "packages/platform/fakes/local_instance.h"
+#include "packages/worker/fakes/local_instance.h"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
-#include "packages/platform/report_codec.h"
+#include "packages/worker/report_codec.h"
 
 namespace bramleyrail {
 
@@ -17,7 +17,7 @@
 
 LocalInstance::LocalInstance(size_t threads) : controller_({}) {
   MakeAccess();
-  PlatformServer::Options options;
+  WorkerServer::Options options;
   options.state = access_;
   options.threads = threads;
   options.queued_connections = 0;
@@ -33,7 +33,7 @@
       controller_.Observe(std::move(report));
     }
   };
-  auto server = PlatformServer::Create(std::move(options));
+  auto server = WorkerServer::Create(std::move(options));
   BRAMLEYRAIL_ASSERT(server.has_value(), "a free port must be found");
   server_ = std::move(server.value());
   server_->Start();
--- a/packages/platform/fakes/local_instance.h
+++ b/packages/worker/fakes/local_instance.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_FAKES_LOCAL_INSTANCE_H_
-#define PACKAGES_PLATFORM_FAKES_LOCAL_INSTANCE_H_
+#ifndef PACKAGES_WORKER_FAKES_LOCAL_INSTANCE_H_
+#define PACKAGES_WORKER_FAKES_LOCAL_INSTANCE_H_
 
 #include <atomic>
 #include <functional>
@@ -9,7 +9,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "packages/platform/platform_server.h"
+#include "packages/worker/worker_server.h"
 
 namespace bramleyrail {
 
@@ -29,7 +29,7 @@
   void DropReports(int batches) { batches_to_drop_ = batches; }
 
   const StateAccess& access() const { return access_; }
-  PlatformServer& server() { return *server_; }
+  WorkerServer& server() { return *server_; }
   std::string address() const;
 
  private:
@@ -43,10 +43,10 @@
   std::atomic<bool> fresh_ = true;
   std::atomic<int> batches_to_drop_ = 0;
   std::atomic<bool> stopping_ = false;
-  std::unique_ptr<PlatformServer> server_;
+  std::unique_ptr<WorkerServer> server_;
   std::thread leader_;
 };
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_FAKES_LOCAL_INSTANCE_H_
+#endif  // PACKAGES_WORKER_FAKES_LOCAL_INSTANCE_H_
--- a/packages/platform/fakes/stand_in_task.cc
+++ b/packages/worker/fakes/stand_in_task.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/fakes/stand_in_task.h"
+#include "packages/worker/fakes/stand_in_task.h"
 
 #include <cstdlib>
 #include <vector>
--- a/packages/platform/fakes/stand_in_task.h
+++ b/packages/worker/fakes/stand_in_task.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_FAKES_STAND_IN_TASK_H_
-#define PACKAGES_PLATFORM_FAKES_STAND_IN_TASK_H_
+#ifndef PACKAGES_WORKER_FAKES_STAND_IN_TASK_H_
+#define PACKAGES_WORKER_FAKES_STAND_IN_TASK_H_
 
 #include <cstdint>
 #include <optional>
@@ -43,4 +43,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_FAKES_STAND_IN_TASK_H_
+#endif  // PACKAGES_WORKER_FAKES_STAND_IN_TASK_H_
--- a/packages/platform/fakes/stand_in_worker.cc
+++ b/packages/worker/fakes/stand_in_worker.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/fakes/stand_in_worker.h"
+#include "packages/worker/fakes/stand_in_worker.h"
 
 #include <httplib.h>
 
--- a/packages/platform/fakes/stand_in_worker.h
+++ b/packages/worker/fakes/stand_in_worker.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_FAKES_STAND_IN_WORKER_H_
-#define PACKAGES_PLATFORM_FAKES_STAND_IN_WORKER_H_
+#ifndef PACKAGES_WORKER_FAKES_STAND_IN_WORKER_H_
+#define PACKAGES_WORKER_FAKES_STAND_IN_WORKER_H_
 
 #include <atomic>
 #include <deque>
@@ -11,12 +11,12 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "packages/placement/placement.h"
-#include "packages/platform/fakes/attempt_log.h"
-#include "packages/platform/fakes/stand_in_task.h"
+#include "packages/worker/fakes/attempt_log.h"
+#include "packages/worker/fakes/stand_in_task.h"
 
 namespace bramleyrail {
 
-// A worker for tests and the quickstart: it follows docs/interfaces/platform.md
+// A worker for tests and the quickstart: it follows docs/interfaces/workers.md
 // and runs tasks as timers.
 class StandInWorker {
  public:
@@ -101,4 +101,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_FAKES_STAND_IN_WORKER_H_
+#endif  // PACKAGES_WORKER_FAKES_STAND_IN_WORKER_H_
--- a/packages/platform/fakes/stand_in_worker_main.cc
+++ b/packages/worker/fakes/stand_in_worker_main.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "absl/strings/str_split.h"
-#include "packages/platform/fakes/stand_in_worker.h"
+#include "packages/worker/fakes/stand_in_worker.h"
 
 DEFINE_string(name, "", "name of the worker");
 DEFINE_string(boot_id, "", "boot id; empty: a new one");
--- a/packages/platform/poll_answer.cc
+++ b/packages/worker/poll_answer.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/poll_answer.h"
+#include "packages/worker/poll_answer.h"
 
 #include <algorithm>
 
--- a/packages/platform/poll_answer.h
+++ b/packages/worker/poll_answer.h
@@ -1,11 +1,11 @@
-#ifndef PACKAGES_PLATFORM_POLL_ANSWER_H_
-#define PACKAGES_PLATFORM_POLL_ANSWER_H_
+#ifndef PACKAGES_WORKER_POLL_ANSWER_H_
+#define PACKAGES_WORKER_POLL_ANSWER_H_
 
 #include <string>
 #include <string_view>
 
-#include "packages/platform/poll_request.h"
-#include "packages/platform/worker_view.h"
+#include "packages/worker/poll_request.h"
+#include "packages/worker/worker_view.h"
 
 namespace bramleyrail {
 
@@ -28,4 +28,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_POLL_ANSWER_H_
+#endif  // PACKAGES_WORKER_POLL_ANSWER_H_
--- a/packages/platform/poll_request.cc
+++ b/packages/worker/poll_request.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/poll_request.h"
+#include "packages/worker/poll_request.h"
 
 #include <algorithm>
 #include <limits>
--- a/packages/platform/poll_request.h
+++ b/packages/worker/poll_request.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_POLL_REQUEST_H_
-#define PACKAGES_PLATFORM_POLL_REQUEST_H_
+#ifndef PACKAGES_WORKER_POLL_REQUEST_H_
+#define PACKAGES_WORKER_POLL_REQUEST_H_
 
 #include <string>
 #include <string_view>
@@ -12,7 +12,7 @@
 // within the 5 s of silence after which it is suspended.
 inline constexpr Milliseconds kMaximumPollWait{2000};
 
-// The body of POST /v1/workers/{name}/poll; see docs/interfaces/platform.md.
+// The body of POST /v1/workers/{name}/poll; see docs/interfaces/workers.md.
 struct PollRequest {
   WorkerReport report;
   std::string known_version;  // Of the last answer; empty: answer at once.
@@ -25,4 +25,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_POLL_REQUEST_H_
+#endif  // PACKAGES_WORKER_POLL_REQUEST_H_
--- a/packages/platform/report_batcher.cc
+++ b/packages/worker/report_batcher.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/report_batcher.h"
+#include "packages/worker/report_batcher.h"
 
 #include <iterator>
 #include <utility>
--- a/packages/platform/report_batcher.h
+++ b/packages/worker/report_batcher.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_REPORT_BATCHER_H_
-#define PACKAGES_PLATFORM_REPORT_BATCHER_H_
+#ifndef PACKAGES_WORKER_REPORT_BATCHER_H_
+#define PACKAGES_WORKER_REPORT_BATCHER_H_
 
 #include <functional>
 #include <string>
@@ -46,4 +46,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_REPORT_BATCHER_H_
+#endif  // PACKAGES_WORKER_REPORT_BATCHER_H_
--- a/packages/platform/report_codec.cc
+++ b/packages/worker/report_codec.cc
@@ -1,8 +1,8 @@
-#include "packages/platform/report_codec.h"
+#include "packages/worker/report_codec.h"
 
 #include <string>
 
-#include "packages/platform/platform_generated.h"
+#include "packages/worker/worker_generated.h"
 
 namespace bramleyrail {
 
@@ -12,11 +12,11 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-platform_wire::Amounts ToWire(const ResourceAmounts& amounts) {
+worker_wire::Amounts ToWire(const ResourceAmounts& amounts) {
   return {amounts.processor_millis, amounts.memory_mib, amounts.accelerators};
 }
 
-ResourceAmounts FromWire(const platform_wire::Amounts* amounts) {
+ResourceAmounts FromWire(const worker_wire::Amounts* amounts) {
   if (amounts == nullptr) {
     return {};
   }
@@ -24,53 +24,53 @@
           amounts->accelerators()};
 }
 
-flatbuffers::Offset<platform_wire::HeldAttempt> Write(
+flatbuffers::Offset<worker_wire::HeldAttempt> Write(
     flatbuffers::FlatBufferBuilder* builder,
     const HeldAttempt& held) {
   const AttemptReport& report = held.report;
   const auto task_id = builder->CreateString(report.task_id);
   const auto checkpoint = builder->CreateString(report.checkpoint);
   const auto message = builder->CreateString(report.message);
-  return platform_wire::CreateHeldAttempt(*builder, task_id, report.attempt,
-                                          static_cast<int8_t>(report.state),
-                                          checkpoint, message, held.ran_ms);
+  return worker_wire::CreateHeldAttempt(*builder, task_id, report.attempt,
+                                        static_cast<int8_t>(report.state),
+                                        checkpoint, message, held.ran_ms);
 }
 
-flatbuffers::Offset<platform_wire::AttemptUsage> Write(
+flatbuffers::Offset<worker_wire::AttemptUsage> Write(
     flatbuffers::FlatBufferBuilder* builder,
     const AttemptUsage& usage) {
   const auto task_id = builder->CreateString(usage.task_id);
-  const platform_wire::Amounts used = ToWire(usage.used);
-  return platform_wire::CreateAttemptUsage(*builder, task_id, usage.attempt,
-                                           &used, usage.slowdown_permille);
+  const worker_wire::Amounts used = ToWire(usage.used);
+  return worker_wire::CreateAttemptUsage(*builder, task_id, usage.attempt,
+                                         &used, usage.slowdown_permille);
 }
 
-flatbuffers::Offset<platform_wire::WorkerReport> Write(
+flatbuffers::Offset<worker_wire::WorkerReport> Write(
     flatbuffers::FlatBufferBuilder* builder,
     const WorkerReport& report) {
-  std::vector<flatbuffers::Offset<platform_wire::HeldAttempt>> attempts;
+  std::vector<flatbuffers::Offset<worker_wire::HeldAttempt>> attempts;
   attempts.reserve(report.attempts.size());
   for (const HeldAttempt& held : report.attempts) {
     attempts.push_back(Write(builder, held));
   }
-  std::vector<flatbuffers::Offset<platform_wire::AttemptUsage>> usage;
+  std::vector<flatbuffers::Offset<worker_wire::AttemptUsage>> usage;
   usage.reserve(report.usage.size());
   for (const AttemptUsage& entry : report.usage) {
     usage.push_back(Write(builder, entry));
   }
-  const platform_wire::Amounts capacity = ToWire(report.spec.capacity);
+  const worker_wire::Amounts capacity = ToWire(report.spec.capacity);
   const auto worker = builder->CreateString(report.worker);
   const auto boot_id = builder->CreateString(report.boot_id);
   const auto domain = builder->CreateString(report.spec.failure_domain);
   const auto rack = builder->CreateString(report.spec.rack);
   const auto attempt_list = builder->CreateVector(attempts);
   const auto usage_list = builder->CreateVector(usage);
-  return platform_wire::CreateWorkerReport(*builder, worker, boot_id, domain,
-                                           rack, &capacity, attempt_list,
-                                           usage_list);
+  return worker_wire::CreateWorkerReport(*builder, worker, boot_id, domain,
+                                         rack, &capacity, attempt_list,
+                                         usage_list);
 }
 
-Result<HeldAttempt> Read(const platform_wire::HeldAttempt& held) {
+Result<HeldAttempt> Read(const worker_wire::HeldAttempt& held) {
   const int8_t state = held.state();
   if (state < 0 ||
       state > static_cast<int8_t>(ReportedAttemptState::kStopped)) {
@@ -88,7 +88,7 @@
   return result;
 }
 
-Result<WorkerReport> Read(const platform_wire::WorkerReport& report) {
+Result<WorkerReport> Read(const worker_wire::WorkerReport& report) {
   WorkerReport result;
   result.worker = ToString(report.worker());
   result.boot_id = ToString(report.boot_id());
@@ -96,13 +96,13 @@
   result.spec.rack = ToString(report.rack());
   result.spec.capacity = FromWire(report.capacity());
   if (report.attempts() != nullptr) {
-    for (const platform_wire::HeldAttempt* held : *report.attempts()) {
+    for (const worker_wire::HeldAttempt* held : *report.attempts()) {
       TRY(attempt, Read(*held));
       result.attempts.push_back(std::move(attempt));
     }
   }
   if (report.usage() != nullptr) {
-    for (const platform_wire::AttemptUsage* usage : *report.usage()) {
+    for (const worker_wire::AttemptUsage* usage : *report.usage()) {
       result.usage.push_back({ToString(usage->task_id()), usage->attempt(),
                               FromWire(usage->used()),
                               usage->slowdown_permille()});
@@ -116,13 +116,13 @@
 std::vector<std::byte> EncodeWorkerReports(
     std::span<const WorkerReport> reports) {
   flatbuffers::FlatBufferBuilder builder;
-  std::vector<flatbuffers::Offset<platform_wire::WorkerReport>> entries;
+  std::vector<flatbuffers::Offset<worker_wire::WorkerReport>> entries;
   entries.reserve(reports.size());
   for (const WorkerReport& report : reports) {
     entries.push_back(Write(&builder, report));
   }
-  builder.Finish(platform_wire::CreateWorkerReports(
-      builder, builder.CreateVector(entries)));
+  builder.Finish(
+      worker_wire::CreateWorkerReports(builder, builder.CreateVector(entries)));
   const auto bytes = std::as_bytes(
       std::span<const uint8_t>(builder.GetBufferPointer(), builder.GetSize()));
   return {bytes.begin(), bytes.end()};
@@ -133,17 +133,17 @@
   const auto* bytes = reinterpret_cast<const uint8_t*>(data.data());
   flatbuffers::Verifier verifier(bytes, data.size());
   if (data.empty() ||
-      !verifier.VerifyBuffer<platform_wire::WorkerReports>(nullptr)) {
+      !verifier.VerifyBuffer<worker_wire::WorkerReports>(nullptr)) {
     return MakeError(ErrorKind::kDataLoss,
                      "the batch of worker reports is damaged",
                      "run the same version on every instance");
   }
   std::vector<WorkerReport> reports;
-  const auto* batch = flatbuffers::GetRoot<platform_wire::WorkerReports>(bytes);
+  const auto* batch = flatbuffers::GetRoot<worker_wire::WorkerReports>(bytes);
   if (batch->reports() == nullptr) {
     return reports;
   }
-  for (const platform_wire::WorkerReport* report : *batch->reports()) {
+  for (const worker_wire::WorkerReport* report : *batch->reports()) {
     TRY(entry, Read(*report));
     reports.push_back(std::move(entry));
   }
--- a/packages/platform/report_codec.h
+++ b/packages/worker/report_codec.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_REPORT_CODEC_H_
-#define PACKAGES_PLATFORM_REPORT_CODEC_H_
+#ifndef PACKAGES_WORKER_REPORT_CODEC_H_
+#define PACKAGES_WORKER_REPORT_CODEC_H_
 
 #include <cstddef>
 #include <span>
@@ -9,7 +9,7 @@
 
 namespace bramleyrail {
 
-// FlatBuffers of platform.fbs, as sent to the leader on the channel `platform`.
+// FlatBuffers of worker.fbs, as sent to the leader on the channel `platform`.
 std::vector<std::byte> EncodeWorkerReports(
     std::span<const WorkerReport> reports);
 
@@ -19,4 +19,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_REPORT_CODEC_H_
+#endif  // PACKAGES_WORKER_REPORT_CODEC_H_
--- a/packages/platform/tests/platform_server_test.cc
+++ b/packages/worker/tests/worker_server_test.cc
@@ -5,11 +5,11 @@
 #include <fstream>
 #include <thread>
 
-#include "packages/platform/change_notifier.h"
-#include "packages/platform/fakes/local_instance.h"
-#include "packages/platform/fakes/stand_in_worker.h"
-#include "packages/platform/platform.h"
-#include "packages/platform/worker_view.h"
+#include "packages/worker/change_notifier.h"
+#include "packages/worker/fakes/local_instance.h"
+#include "packages/worker/fakes/stand_in_worker.h"
+#include "packages/worker/worker.h"
+#include "packages/worker/worker_view.h"
 // After the others, since CppUTest defines macros.
 #include "CppUTest/TestHarness.h"
 
@@ -53,10 +53,10 @@
   });
 }
 
-TEST_GROUP(PlatformServer){};
+TEST_GROUP(WorkerServer){};
 
 // Guards against a poll that is half used, or answered without its faults.
-TEST(PlatformServer, RefusesAnInvalidPollWithEveryFault) {
+TEST(WorkerServer, RefusesAnInvalidPollWithEveryFault) {
   LocalInstance instance(4);
   httplib::Client client("http://" + instance.address());
   const auto answer =
@@ -71,7 +71,7 @@
 
 // Guards against a grant from an instance whose knowledge is old: such an
 // instance may not know of a drain or a suspension.
-TEST(PlatformServer, GrantsOnlyWhileFresh) {
+TEST(WorkerServer, GrantsOnlyWhileFresh) {
   LocalInstance instance(4);
   CHECK(Register(&instance));
   Json answer = Post(&instance, Json::parse(kPoll));
@@ -86,7 +86,7 @@
 
 // Guards against starts on a drained worker, and against a drain that takes
 // the lease from what runs.
-TEST(PlatformServer, ADrainWithdrawsThePermitButNotTheLease) {
+TEST(WorkerServer, ADrainWithdrawsThePermitButNotTheLease) {
   LocalInstance instance(4);
   CHECK(Register(&instance));
   instance.Apply(SetDrained{"drain", ResourceKind::kWorker, "w1", true, "u"});
@@ -101,7 +101,7 @@
 
 // Guards against a held poll that sleeps through a change of its worker. The
 // wait is longer than the test may take, so only a wake-up ends it.
-TEST(PlatformServer, AHeldPollEndsWithAChangeOfItsWorker) {
+TEST(WorkerServer, AHeldPollEndsWithAChangeOfItsWorker) {
   LocalInstance instance(4);
   CHECK(Register(&instance));
   uint64_t version = 0;
@@ -120,7 +120,7 @@
 
 // Guards against idle or waiting connections that hold up all others: beyond
 // the pool the answer is 503 at once.
-TEST(PlatformServer, AFullPoolAnswers503) {
+TEST(WorkerServer, AFullPoolAnswers503) {
   LocalInstance instance(1);
   CHECK(Register(&instance));
   Json poll = Json::parse(kPoll);
@@ -136,7 +136,7 @@
 }
 
 // Guards against a worker that stays with an instance that is about to stop.
-TEST(PlatformServer, ADrainOfTheInstanceEndsHeldPolls) {
+TEST(WorkerServer, ADrainOfTheInstanceEndsHeldPolls) {
   LocalInstance instance(4);
   CHECK(Register(&instance));
   Json poll = Json::parse(kPoll);
@@ -148,7 +148,7 @@
 
 // Guards against a lost report that leaves a task assigned for ever, and
 // against a worker that does not move on from an instance that is down.
-TEST(PlatformServer, AStandInWorkerRunsAJobAlthoughReportsAreLost) {
+TEST(WorkerServer, AStandInWorkerRunsAJobAlthoughReportsAreLost) {
   LocalInstance instance(4);
   DeclareJob(&instance, R"({"run_ms": 100})", 5);
   const std::string log =
@@ -182,7 +182,7 @@
 }
 
 // Guards against a damaged batch that is taken for a valid one.
-TEST(PlatformServer, TheReportCodecRefusesDamagedBytes) {
+TEST(WorkerServer, TheReportCodecRefusesDamagedBytes) {
   WorkerReport report{"w1", "b1", {"north", "r1", {1, 2, 3}, false}, {}, {}};
   report.attempts.push_back(
       {{"t/0", 3, ReportedAttemptState::kFailed, "c", "m", true}, 7});
--- a/packages/platform/platform_events.h
+++ b/packages/worker/worker_edge_events.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_PLATFORM_EVENTS_H_
-#define PACKAGES_PLATFORM_PLATFORM_EVENTS_H_
+#ifndef PACKAGES_WORKER_WORKER_EDGE_EVENTS_H_
+#define PACKAGES_WORKER_WORKER_EDGE_EVENTS_H_
 
 #include "packages/base/base.h"
 
@@ -16,4 +16,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_PLATFORM_EVENTS_H_
+#endif  // PACKAGES_WORKER_WORKER_EDGE_EVENTS_H_
--- a/packages/platform/platform_server.cc
+++ b/packages/worker/worker_server.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/platform_server.h"
+#include "packages/worker/worker_server.h"
 
 #include <httplib.h>
 
@@ -8,12 +8,12 @@
 
 #include "absl/strings/str_cat.h"
 #include "packages/http/http.h"
-#include "packages/platform/change_notifier.h"
-#include "packages/platform/platform_events.h"
-#include "packages/platform/poll_answer.h"
-#include "packages/platform/poll_request.h"
-#include "packages/platform/report_batcher.h"
-#include "packages/platform/worker_view.h"
+#include "packages/worker/change_notifier.h"
+#include "packages/worker/poll_answer.h"
+#include "packages/worker/poll_request.h"
+#include "packages/worker/report_batcher.h"
+#include "packages/worker/worker_edge_events.h"
+#include "packages/worker/worker_view.h"
 
 namespace bramleyrail {
 
@@ -44,7 +44,7 @@
 
 }  // namespace
 
-class PlatformServer::Implementation {
+class WorkerServer::Implementation {
  public:
   explicit Implementation(Options options)
       : options_(std::move(options)),
@@ -163,7 +163,7 @@
            MakeError(
                kind,
                absl::StrCat("cannot serve ", request.method, " ", request.path),
-               "see docs/interfaces/platform.md"));
+               "see docs/interfaces/workers.md"));
   }
 
   void Poll(const httplib::Request& http_request, httplib::Response* response) {
@@ -232,32 +232,31 @@
   int port_ = 0;
 };
 
-PlatformServer::PlatformServer(std::unique_ptr<Implementation> implementation)
+WorkerServer::WorkerServer(std::unique_ptr<Implementation> implementation)
     : implementation_(std::move(implementation)) {}
 
-PlatformServer::~PlatformServer() = default;
+WorkerServer::~WorkerServer() = default;
 
-Result<std::unique_ptr<PlatformServer>> PlatformServer::Create(
-    Options options) {
+Result<std::unique_ptr<WorkerServer>> WorkerServer::Create(Options options) {
   auto implementation = std::make_unique<Implementation>(std::move(options));
   TRY(implementation->Bind());
-  return std::unique_ptr<PlatformServer>(
-      new PlatformServer(std::move(implementation)));
+  return std::unique_ptr<WorkerServer>(
+      new WorkerServer(std::move(implementation)));
 }
 
-void PlatformServer::Start() {
+void WorkerServer::Start() {
   implementation_->Start();
 }
 
-void PlatformServer::BeginDrain() {
+void WorkerServer::BeginDrain() {
   implementation_->BeginDrain();
 }
 
-void PlatformServer::Stop() {
+void WorkerServer::Stop() {
   implementation_->Stop();
 }
 
-int PlatformServer::port() const {
+int WorkerServer::port() const {
   return implementation_->port();
 }
 
--- a/packages/platform/platform_server.h
+++ b/packages/worker/worker_server.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_PLATFORM_SERVER_H_
-#define PACKAGES_PLATFORM_PLATFORM_SERVER_H_
+#ifndef PACKAGES_WORKER_WORKER_SERVER_H_
+#define PACKAGES_WORKER_WORKER_SERVER_H_
 
 #include <cstddef>
 #include <functional>
@@ -12,8 +12,8 @@
 
 namespace bramleyrail {
 
-// The HTTP edge that workers poll; see docs/interfaces/platform.md.
-class PlatformServer {
+// The HTTP edge that workers poll; see docs/interfaces/workers.md.
+class WorkerServer {
  public:
   struct Options {
     std::string listen_address = "127.0.0.1";
@@ -32,10 +32,10 @@
   };
 
   // Binds the port; kUnavailable when that fails.
-  static Result<std::unique_ptr<PlatformServer>> Create(Options options);
-  ~PlatformServer();
-  PlatformServer(const PlatformServer&) = delete;
-  PlatformServer& operator=(const PlatformServer&) = delete;
+  static Result<std::unique_ptr<WorkerServer>> Create(Options options);
+  ~WorkerServer();
+  WorkerServer(const WorkerServer&) = delete;
+  WorkerServer& operator=(const WorkerServer&) = delete;
 
   void Start();
   // Answers waiting polls at once and tells workers to poll elsewhere.
@@ -48,11 +48,11 @@
  private:
   class Implementation;
 
-  explicit PlatformServer(std::unique_ptr<Implementation> implementation);
+  explicit WorkerServer(std::unique_ptr<Implementation> implementation);
 
   std::unique_ptr<Implementation> implementation_;
 };
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_PLATFORM_SERVER_H_
+#endif  // PACKAGES_WORKER_WORKER_SERVER_H_
--- a/packages/platform/worker_view.cc
+++ b/packages/worker/worker_view.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/worker_view.h"
+#include "packages/worker/worker_view.h"
 
 #include <utility>
 #include <variant>
--- a/packages/platform/worker_view.h
+++ b/packages/worker/worker_view.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_WORKER_VIEW_H_
-#define PACKAGES_PLATFORM_WORKER_VIEW_H_
+#ifndef PACKAGES_WORKER_WORKER_VIEW_H_
+#define PACKAGES_WORKER_WORKER_VIEW_H_
 
 #include <cstdint>
 #include <string>
@@ -43,4 +43,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_PLATFORM_WORKER_VIEW_H_
+#endif  // PACKAGES_WORKER_WORKER_VIEW_H_
