Dispatch: Learn which images disturb runs with a target, and pace only those

Cause: the pace policy slowed every run of spare capacity beside a run over its target and raised all of them again at once, so work on spare capacity starved.

Runs of spare capacity start where little disturbance is expected, suspects are paced or move with their checkpoint, and runs with targets are grouped by image. The HTTP client keeps 16 idle connections an address.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -234,8 +234,8 @@
                        const TaskName& task,
                        MonotonicTime now) {
   const JobStep& step = job->step(task);
-  RunRequest request{&job->job(), &step, task,
-                           job->task(task).avoid_worker, step.data_rack};
+  RunRequest request{&job->job(), &step, task, job->task(task).avoid_worker,
+                     step.data_rack};
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->RunsOf(task.job, task.occurrence, task.step) > 0) {
@@ -244,7 +244,7 @@
     }
   }
   WorkerTrack* worker =
-      choice_.Choose(request, workers_, state.evacuated(), now);
+      choice_.Choose(request, workers_, state.evacuated(), disturbance_, now);
   if (worker == nullptr) {
     return false;
   }
@@ -266,9 +266,10 @@
     TaskName task = first;
     task.index = index;
     run = std::max(run, NextRun(job->task(task)));
-    const RunRequest request{&job->job(), &step, task, "", rack};
+    const RunRequest request{&job->job(), &step, task,
+                             "",          rack,  Milliseconds(0)};
     WorkerTrack* worker =
-        choice_.Choose(request, workers_, state.evacuated(), now);
+        choice_.Choose(request, workers_, state.evacuated(), disturbance_, now);
     if (worker == nullptr) {
       break;
     }
@@ -303,6 +304,7 @@
   TaskTrack& track = job->task(task);
   ready_.erase({job->job().priority, job->objective_unix_ms(), task});
   track.phase = TaskPhase::kActive;
+  track.ready_since.reset();
   track.worker = worker->registration().id;
   track.last_run = run;
   TrackedRun tracked;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "packages/dispatch/disturbance_model.h"
 #include "packages/dispatch/job_track.h"
 #include "packages/dispatch/pace_policy.h"
 #include "packages/dispatch/worker_choice.h"
@@ -156,6 +157,8 @@
                 MonotonicTime now);
   // The run has ended without result; its task may start again.
   void Requeue(const TaskName& task, uint64_t run, MonotonicTime not_before);
+  // Slows down, speeds up or moves runs of spare capacity.
+  void ProtectTargets(WorkerTrack* worker, MonotonicTime now);
   void NoteFailure(WorkerTrack* worker,
                    std::string_view why,
                    MonotonicTime now);
@@ -165,6 +168,7 @@
   const MonotonicTime begun_;
   const WorkerChoice choice_;
   const PacePolicy pace_policy_{};
+  DisturbanceModel disturbance_;
   WorkerTracks workers_;
   std::map<std::string, std::unique_ptr<JobTrack>> jobs_;
   std::set<ReadyKey> ready_;
--- a/packages/dispatch/dispatcher_answers.cc
+++ b/packages/dispatch/dispatcher_answers.cc
@@ -133,7 +133,11 @@
   WorkerTrack* worker = FindWorker(address);
   TrackedRun* run =
       worker == nullptr ? nullptr : worker->FindRun({task, run_number});
-  if (run != nullptr && outcome == OrderOutcome::kAccepted) {
+  if (run == nullptr) {
+    return;
+  }
+  run->pace_in_flight = false;
+  if (outcome == OrderOutcome::kAccepted) {
     run->confirmed_pace = percent;
   }
 }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -21,6 +21,9 @@
 constexpr Milliseconds kContactLimit{2'500};
 // Longest wait of a look while a run with a target is over it.
 constexpr Milliseconds kOverTargetWait{300};
+// A worker with a run over its target gets no new runs of spare capacity for
+// this long, unless there is no other.
+constexpr Milliseconds kAvoidSpareFor{3'000};
 // Failures in a row after which a worker gets no new runs for a while.
 constexpr int kFailuresBeforeAvoided = 3;
 constexpr Milliseconds kAvoidedFor{8'000};
@@ -60,8 +63,8 @@
   }
   order.ends_recorded = worker->ends_recorded;
   if (worker->heard && worker->failed_looks == 0) {
-    order.wait = PacePolicy::IsOverTarget(*worker) ? kOverTargetWait
-                                                   : options_.look_wait;
+    order.wait =
+        HasRunOverTarget(*worker) ? kOverTargetWait : options_.look_wait;
   }
   worker->look_in_flight = true;
   ++counters_.looks;
@@ -232,18 +235,34 @@
   }
   TakeRunning(worker, answer, sent, now);
   worker->heard = true;
-  if (PacePolicy::IsOverTarget(*worker)) {
-    worker->avoid_spare_until = now + Milliseconds(3'000);
+  disturbance_.Observe(*worker, now);
+  ProtectTargets(worker, now);
+}
+
+void Dispatcher::ProtectTargets(WorkerTrack* worker, MonotonicTime now) {
+  if (HasRunOverTarget(*worker)) {
+    worker->avoid_spare_until = now + kAvoidSpareFor;
   }
-  for (const PacePolicy::Change& change : pace_policy_.Decide(*worker)) {
+  for (const PacePolicy::Change& change :
+       pace_policy_.Decide(*worker, disturbance_, now)) {
     TrackedRun* run = worker->FindRun(change.run);
-    if (run->pace != change.percent) {
-      LogEvent(kRunPaced, {{"task", change.run.first.ToString()},
-                           {"run", change.run.second},
-                           {"worker", address.id},
-                           {"percent", change.percent}});
+    worker->spare_changed = now;
+    if (change.percent < run->pace || change.move) {
+      worker->pace_lowered = now;
+    }
+    if (change.move && run->step->checkpointing) {
+      // Its checkpoint takes it to a worker where it disturbs less.
+      SendStop(worker, change.run, run, "it disturbs runs with a target", now);
+      continue;
     }
+    LogEvent(kRunPaced, {{"task", change.run.first.ToString()},
+                         {"run", change.run.second},
+                         {"worker", worker->registration().id},
+                         {"percent", change.percent},
+                         {"disturbance", change.disturbance}});
     run->pace = change.percent;
+    run->pace_changed = now;
+    run->pace_in_flight = true;
     ++counters_.paces;
     orders_.push_back(
         {worker->Address(),
--- a/packages/dispatch/job_track.h
+++ b/packages/dispatch/job_track.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
   int64_t failures = 0;
   std::string checkpoint;
   MonotonicTime not_before;  // Of the next start.
+  // When it was first looked at since it became ready.
+  std::optional<MonotonicTime> ready_since;
   std::string worker;        // While active.
   std::string avoid_worker;  // Where the last run failed.
 };
--- a/packages/dispatch/pace_policy.h
+++ b/packages/dispatch/pace_policy.h
@@ -2,26 +2,30 @@
 #define PACKAGES_DISPATCH_PACE_POLICY_H_
 
 #include <cstdint>
-#include <utility>
 #include <vector>
 
-#include "packages/dispatch/worker_track.h"
+#include "packages/dispatch/disturbance_model.h"
 
 namespace bramleyrail {
 
-// Limits runs of spare capacity on a worker so that runs with a target latency
-// beside them meet it: quickly down when one is over it, slowly up again.
+// Protects runs with a target latency from the runs of spare capacity beside
+// them: those that most likely disturb are slowed down at once, and sped up
+// again step by step while all is well.
 class PacePolicy {
  public:
   struct Change {
     RunKey run;
     int64_t percent = 100;
+    // Expected disturbance of the run that is over its target; 0 on a rise.
+    double disturbance = 0;
+    // The run should go to another worker, if it can take its work along.
+    bool move = false;
   };
 
   // The changes that the newest figures of the worker call for.
-  std::vector<Change> Decide(const WorkerTrack& worker) const;
-  // Figures that keep further spare runs away.
-  static bool IsOverTarget(const WorkerTrack& worker);
+  std::vector<Change> Decide(const WorkerTrack& worker,
+                             const DisturbanceModel& model,
+                             MonotonicTime now) const;
 };
 
 }  // namespace bramleyrail
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -18,16 +18,40 @@
 constexpr double kFailedThereWeight = 8.0;
 // For each failure in a row on the worker.
 constexpr double kFailureWeight = 1.0;
-// Spare capacity beside a run with a target latency disturbs it.
-constexpr double kBesideTargetWeight = 0.5;
+// Of an expected disturbance that takes a run to its target latency.
+constexpr double kDisturbanceWeight = 1.5;
+// Runs with targets keep their kind together, so that there are workers where
+// a disturber of one kind disturbs nobody.
+constexpr double kSameImageWeight = 1.5;
+// What an empty worker counts as: better than a mixture.
+constexpr double kEmptyWorkerShare = 0.6;
+// A run of spare capacity starts beside a run with a target only below this
+// expected disturbance. The limit rises with each second that it waits, since
+// the expectation may be wrong and the pace protects the target.
+constexpr double kMaximumDisturbance = 0.5;
+constexpr double kMoreDisturbancePerSecond = 0.2;
 // Reserved processors that are in use on average; spare capacity is the rest.
 constexpr double kReservedUse = 0.6;
+// Runs of spare capacity ask for no more than this share of what is left, as
+// beyond it they only slow down each other and everything beside them.
+constexpr double kMaximumSpareShare = 1.0;
 
 bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
   return std::find(worker.labels.begin(), worker.labels.end(), label) !=
          worker.labels.end();
 }
 
+// Processors that runs of spare capacity would ask for with one more run, as a
+// share of what the others leave.
+double SpareShare(const WorkerTrack& worker, const JobStep& step) {
+  const double left =
+      static_cast<double>(worker.registration().capacity.processor_millis) -
+      kReservedUse * static_cast<double>(worker.reserved().processor_millis);
+  return static_cast<double>(worker.spare_processor_millis() +
+                             step.size.processor_millis) /
+         std::max(left, 1.0);
+}
+
 bool HasRoom(const WorkerTrack& worker, const JobStep& step) {
   ResourceAmounts needed = worker.reserved();
   const ResourceAmounts& capacity = worker.registration().capacity;
@@ -36,7 +60,22 @@
   if (!step.uses_spare_capacity) {
     needed.processor_millis += step.size.processor_millis;
   }
-  return needed.FitsInto(capacity);
+  return needed.FitsInto(capacity) &&
+         (!step.uses_spare_capacity ||
+          SpareShare(worker, step) <= kMaximumSpareShare);
+}
+
+// Share of the kind among the runs with a target on the worker.
+double SameImageShare(const WorkerTrack& worker, const std::string& image) {
+  double with_target = 0;
+  double same = 0;
+  for (const auto& [key, run] : worker.runs()) {
+    if (run.step != nullptr && run.step->target_latency_ms > 0) {
+      with_target += 1;
+      same += run.step->image == image ? 1 : 0;
+    }
+  }
+  return with_target == 0 ? kEmptyWorkerShare : same / with_target;
 }
 
 }  // namespace
@@ -55,29 +94,27 @@
 
 double WorkerChoice::Score(const RunRequest& request,
                            const WorkerTrack& worker,
+                           const DisturbanceModel& model,
                            MonotonicTime now) const {
   const JobStep& step = *request.step;
   const WorkerRegistration& registration = worker.registration();
   const auto capacity = static_cast<double>(
       std::max<int64_t>(registration.capacity.processor_millis, 1));
   const auto reserved = static_cast<double>(worker.reserved().processor_millis);
-  const auto spare = static_cast<double>(worker.spare_processor_millis());
   double score = kFailureWeight * worker.consecutive_failures;
   if (step.uses_spare_capacity) {
-    const double left = std::max(capacity - kReservedUse * reserved, 1.0);
-    score += (spare + static_cast<double>(step.size.processor_millis)) / left;
-    if (worker.HasTarget()) {
-      score += kBesideTargetWeight;
-    }
+    score += SpareShare(worker, step) +
+             kDisturbanceWeight * model.ToNeighbours(step, worker);
     if (now < worker.avoid_spare_until) {
-      score += kOtherRackWeight;
+      score += kDisturbanceWeight;
     }
   } else {
     score +=
         (reserved + static_cast<double>(step.size.processor_millis)) / capacity;
-    if (step.target_latency_ms > 0) {
-      score += spare / capacity;
-    }
+  }
+  if (step.target_latency_ms > 0) {
+    score += kDisturbanceWeight * model.FromNeighbours(step, worker) -
+             kSameImageWeight * SameImageShare(worker, step.image);
   }
   const auto region =
       options_.region_of_failure_domain.find(registration.failure_domain);
@@ -99,8 +136,13 @@
 WorkerTrack* WorkerChoice::Choose(const RunRequest& request,
                                   const WorkerTracks& workers,
                                   const std::set<std::string>& evacuated,
+                                  const DisturbanceModel& model,
                                   MonotonicTime now) const {
   const JobStep& step = *request.step;
+  const double disturbance_limit =
+      kMaximumDisturbance + kMoreDisturbancePerSecond *
+                                static_cast<double>(request.waited.count()) /
+                                1'000;
   WorkerTrack* best = nullptr;
   double best_score = 0;
   for (const auto& [id, worker] : workers) {
@@ -117,7 +159,11 @@
                        request.task.step) >= step.maximum_tasks_per_worker) {
       continue;
     }
-    const double score = Score(request, *worker, now);
+    if (step.uses_spare_capacity &&
+        model.HighestWith(step, *worker, 100) > disturbance_limit) {
+      continue;
+    }
+    const double score = Score(request, *worker, model, now);
     if (best == nullptr || score < best_score) {
       best = worker.get();
       best_score = score;
--- a/packages/dispatch/worker_choice.h
+++ b/packages/dispatch/worker_choice.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "packages/dispatch/disturbance_model.h"
 #include "packages/dispatch/worker_track.h"
 
 namespace bramleyrail {
@@ -20,6 +21,7 @@
   TaskName task;
   std::string avoid_worker;    // Where its last run failed.
   std::string preferred_rack;  // Empty: none.
+  Milliseconds waited{0};      // Since it could have started.
 };
 
 // Chooses workers by capacity, labels, racks and distance.
@@ -36,6 +38,7 @@
   WorkerTrack* Choose(const RunRequest& request,
                       const WorkerTracks& workers,
                       const std::set<std::string>& evacuated,
+                      const DisturbanceModel& model,
                       MonotonicTime now) const;
 
   // The worker takes new runs of this pool.
@@ -47,6 +50,7 @@
  private:
   double Score(const RunRequest& request,
                const WorkerTrack& worker,
+               const DisturbanceModel& model,
                MonotonicTime now) const;
 
   const Options options_;
--- a/packages/dispatch/worker_track.cc
+++ b/packages/dispatch/worker_track.cc
@@ -112,11 +112,4 @@
   return count;
 }
 
-bool WorkerTrack::HasTarget() const {
-  return std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
-    return item.second.step != nullptr &&
-           item.second.step->target_latency_ms > 0;
-  });
-}
-
 }  // namespace bramleyrail
--- a/packages/dispatch/worker_track.h
+++ b/packages/dispatch/worker_track.h
@@ -34,6 +34,8 @@
   MonotonicTime percent_changed;
   int64_t pace = 100;  // Ordered share.
   int64_t confirmed_pace = 100;
+  bool pace_in_flight = false;
+  MonotonicTime pace_changed;
   std::optional<int64_t> load;
 };
 
@@ -69,7 +71,9 @@
   int64_t RunsOf(const std::string& job,
                  int64_t occurrence,
                  int64_t step) const;
-  bool HasTarget() const;  // A run has a target latency.
+  // When the runs of spare capacity, or their pace, changed last.
+  MonotonicTime spare_changed;
+  MonotonicTime pace_lowered;
 
   // Contact ------------------------------------------------------------------
   bool heard = false;  // Its lists arrived in this leadership.
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -22,7 +22,7 @@
     Milliseconds connect_timeout{1'000};
     // An idle connection is not used any more after this long.
     Milliseconds idle_timeout{10'000};
-    size_t idle_connections_per_address = 4;
+    size_t idle_connections_per_address = 16;
   };
   using Callback = std::function<void(Result<HttpResponse>)>;
 
