Consensus: Give a replaced voter's place to its replacement

Change: with more voters than the cluster formed with, the leader removes the voter that was silent the longest.

Ruled out: a lost learner message; the replacement was a voter 0.3 s after its start.

--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -40,6 +40,7 @@
     : id_(std::move(options.id)),
       kind_(options.kind),
       peers_(std::move(options.peers)),
+      target_voters_(options.target_voters),
       random_(options.seed),
       now_(options.now),
       retained_entries_(options.retained_entries),
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -62,6 +62,9 @@
     MonotonicTime now;
     // Configuration before the first entry; empty for a replica that joins.
     Configuration initial_configuration;
+    // With more voters than this, a silent one is removed: another instance has
+    // taken its place. 0: no limit.
+    size_t target_voters = 0;
     // What storage recovered.
     HardState hard_state;
     SnapshotPointer snapshot;
@@ -204,10 +207,13 @@
   std::optional<MembershipChange> NextMembershipChange();
   bool IsActive(const ReplicaId& id) const;
   bool IsSilent(const ReplicaId& id) const;
+  // The silent voter that was heard least recently, or nullptr.
+  const ReplicaId* LongestSilentVoter() const;
 
   ReplicaId id_;
   Kind kind_;
   std::vector<std::string> peers_;
+  size_t target_voters_;
   std::mt19937_64 random_;
   MonotonicTime now_;
   LogIndex retained_entries_;
--- a/packages/consensus/replica_core_membership.cc
+++ b/packages/consensus/replica_core_membership.cc
@@ -131,6 +131,25 @@
          kActivityLimit;
 }
 
+const ReplicaId* ReplicaCore::LongestSilentVoter() const {
+  const ReplicaId* longest = nullptr;
+  MonotonicTime oldest_contact = now_;
+  for (const ReplicaId& voter : configuration().voters) {
+    const auto position = progress_.find(voter);
+    if (position == progress_.end() || !IsSilent(voter)) {
+      continue;
+    }
+    const FollowerProgress& progress = position->second;
+    const MonotonicTime contact =
+        progress.last_contact.value_or(progress.added_at);
+    if (contact < oldest_contact) {
+      oldest_contact = contact;
+      longest = &voter;
+    }
+  }
+  return longest;
+}
+
 void ReplicaCore::AdvanceMembership() {
   std::erase_if(joining_, [this](const auto& item) {
     return now_ - item.second >= kJoinExpiry ||
@@ -160,6 +179,11 @@
       }
     }
   }
+  if (target_voters_ > 0 && current.voters.size() > target_voters_) {
+    if (const ReplicaId* replaced = LongestSilentVoter()) {
+      return MembershipChange{Change::kRemove, *replaced};
+    }
+  }
   for (const ReplicaId& learner : current.learners) {
     const FollowerProgress* progress = ProgressOf(learner);
     if (progress == nullptr) {
--- a/packages/dispatch/dispatcher_answers.cc
+++ b/packages/dispatch/dispatcher_answers.cc
@@ -199,8 +199,11 @@
     ++track.failures;
     track.avoid_worker = worker->registration().id;
     NoteFailure(worker, "its runs fail", now);
-    // The state fails the job once the end is recorded.
     if (!step.long_running && track.failures >= job->job().maximum_attempts) {
+      // The state fails the job once the end is recorded; until then the task
+      // must not start, wherever this end came from.
+      ready_.erase({job->job().priority, job->objective_unix_ms(), end.task});
+      track.phase = TaskPhase::kWaiting;
       return;
     }
     Requeue(end.task, end.run, now + Backoff(track.failures));
--- a/packages/replication/fakes/cluster_simulation.cc
+++ b/packages/replication/fakes/cluster_simulation.cc
@@ -23,6 +23,8 @@
   names_ = options_.voters;
   names_.insert(names_.end(), options_.observers.begin(),
                 options_.observers.end());
+  const std::vector<std::string> started = names_;
+  names_.insert(names_.end(), options_.spares.begin(), options_.spares.end());
   double direction = 1;
   for (const std::string& name : names_) {
     Instance& instance = instances_[name];
@@ -34,7 +36,7 @@
     instance.clock_rate = 1 + direction * options_.clock_rate_difference;
     direction = -direction;
   }
-  for (const std::string& name : names_) {
+  for (const std::string& name : started) {
     Restart(name);
   }
 }
--- a/packages/replication/fakes/cluster_simulation.h
+++ b/packages/replication/fakes/cluster_simulation.h
@@ -26,6 +26,8 @@
   struct Options {
     std::vector<std::string> voters;
     std::vector<std::string> observers;
+    // Instances with a disk that are down until Restart() starts them.
+    std::vector<std::string> spares;
     uint64_t seed = 0;
     double drop_probability = 0;
     Milliseconds maximum_delay{20};
--- a/packages/replication/replica_driver.cc
+++ b/packages/replication/replica_driver.cc
@@ -109,6 +109,7 @@
 
 void ReplicaDriver::CreateCore(ReplicaCore::Options options) {
   options.peers = options_.peers;
+  options.target_voters = options_.initial_voters.size();
   options.retained_entries = options_.retained_entries;
   options.seed = Hash64(options_.instance_name, options_.seed);
   options.now = now_;
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -246,6 +246,32 @@
   }
 }
 
+// Guards against a dead voter that counts towards the quorum for ever after a
+// machine at another address has replaced it: the next lost disk would take the
+// quorum away.
+TEST(Simulation, ReplacementUnderAnotherNameTakesTheDeadVotersPlace) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation(
+        {.voters = ThreeVoters(), .spares = {"d"}, .seed = seed});
+    CHECK(simulation.RunUntilLeader());
+    const std::string dead = ThreeVoters()[seed % 3];
+    simulation.Crash(dead, 0, false);
+    simulation.Restart("d");
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(8'000));
+    const std::string wiped = ThreeVoters()[(seed + 1) % 3];
+    simulation.LoseDisk(wiped);
+    simulation.Restart(wiped);
+    simulation.RunFor(Milliseconds(8'000));
+    CHECK_TRUE_TEXT(!simulation.Leader().empty(),
+                    simulation.Describe().c_str());
+    const std::vector<ReplicaId>& voters =
+        simulation.At(simulation.Leader()).core()->configuration().voters;
+    LONGS_EQUAL(3, voters.size());
+    CheckSafe(simulation);
+  }
+}
+
 // Guards against a snapshot that does not fit into one message, and against
 // chunks that get lost.
 TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
