Caller: Do not say "not run" of an id that may have run elsewhere

Cause: without a quorum an instance refused a resent non-idempotent request as "not run" and advised a new id, although an earlier request of that id may have run through an instance that was out of reach; following the advice orders twice.

Change: such a request gets "outcome unknown" (504) and the advice to send the same id again. "Not run" (503) stays for an id that the instance has just made.

Ruled out: asking the peers, which cannot tell while the other instance is away.

--- a/packages/caller/caller_headers.cc
+++ b/packages/caller/caller_headers.cc
@@ -56,6 +56,7 @@
   caller_request.request_id = request.get_header_value(kRequestIdHeader);
   if (caller_request.request_id.empty()) {
     caller_request.request_id = NewUniqueId();
+    caller_request.id_is_new = true;
   }
   AddFault(&faults, kRequestIdHeader,
            ValidateRequestId(caller_request.request_id));
--- a/packages/caller/caller_request.h
+++ b/packages/caller/caller_request.h
@@ -14,6 +14,8 @@
 
 struct CallerRequest {
   std::string request_id;
+  // The id was made for this request, so no earlier one can have had it.
+  bool id_is_new = false;
   std::string service;
   std::string caller;
   bool idempotent = false;
--- a/packages/caller/claim_keeper.cc
+++ b/packages/caller/claim_keeper.cc
@@ -54,7 +54,7 @@
     Propose({std::move(claim), now, now + kUnconfirmedRetryLimit, kRetryDelay});
     return MakeError(ErrorKind::kUnavailable,
                      "the claim of the request was not confirmed in time",
-                     "send the request again with a new request id");
+                     "send the request again with the same request id");
   }
   if (!outcome->has_value()) {
     return outcome->error();
--- a/packages/caller/request_dispatcher.cc
+++ b/packages/caller/request_dispatcher.cc
@@ -113,7 +113,18 @@
   Result<ClaimKeeper::Decision> decision = options_.claims->Acquire(
       request, std::min(timeout / 2, kLongestClaimWait));
   if (!decision.has_value()) {
-    return Refusal(decision.error(), RunClaim::kNotRun);
+    if (request.id_is_new) {
+      return Refusal(decision.error(), RunClaim::kNotRun);
+    }
+    // An earlier request of this id may have run through another instance; only
+    // the replicated claims could tell.
+    return Refusal(
+        MakeError(ErrorKind::kOutcomeUnknown,
+                  absl::StrCat("it is not known whether a request of this id "
+                               "has run: ",
+                               decision.error().message),
+                  "send the request again with the same request id"),
+        RunClaim::kMayHaveRun);
   }
   if (!decision.value().won) {
     return AnswerFromClaim(decision.value().claim);
