--- a/packages/base/cbor_codec.h
+++ b/packages/base/cbor_codec.h
@@ -63,9 +63,8 @@
   if constexpr (IsText<T>) {
     return std::string(value.View());
   } else if constexpr (std::is_same_v<T, bool> ||
-                       std::is_same_v<T, std::string>) {
-    return value;
-  } else if constexpr (std::is_floating_point_v<T>) {
+                       std::is_same_v<T, std::string> ||
+                       std::is_floating_point_v<T>) {
     return value;
   } else if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
     return static_cast<int64_t>(value);
@@ -123,14 +122,10 @@
 // Returns false when the JSON has not the shape that Pack() writes.
 template <typename T>
 bool Unpack(const Json& json, T* value) {
-  if constexpr (IsText<T>) {
+  if constexpr (IsText<T> || std::is_same_v<T, std::string>) {
     const auto* text = json.get_ptr<const std::string*>();
     *value = text == nullptr ? T() : T(*text);
     return text != nullptr;
-  } else if constexpr (std::is_same_v<T, std::string>) {
-    const auto* text = json.get_ptr<const std::string*>();
-    *value = text == nullptr ? std::string() : *text;
-    return text != nullptr;
   } else if constexpr (std::is_same_v<T, bool>) {
     *value = json.is_boolean() && json.get<bool>();
     return json.is_boolean();
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -33,8 +33,9 @@
 
   // Calls `address` ("10.0.0.1:8080"). The callback runs once, never inside
   // Call(): kUnavailable when the request was not sent, kNotFound when moreover
-  // the connection was refused, kOutcomeUnknown when it may have been executed. A call may be sent twice when a kept connection
-  // turns out to be closed, so it must be idempotent.
+  // the connection was refused, kOutcomeUnknown when it may have been executed.
+  // A call may be sent twice when a kept connection turns out to be closed, so
+  // it must be idempotent.
   void Call(const std::string& address,
             HttpRequest request,
             Milliseconds timeout,
--- a/packages/http/async_http_server.cc
+++ b/packages/http/async_http_server.cc
@@ -27,6 +27,10 @@
 // A client that does not read its answer for this long is given up.
 constexpr Milliseconds kWriteTimeout{10'000};
 
+std::string ToText(beast::string_view view) {
+  return {view.data(), view.size()};
+}
+
 }  // namespace
 
 class AsyncHttpServer::Acceptor
@@ -130,11 +134,11 @@
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
     HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+    request.method = ToText(message.method_string());
+    request.target = ToText(message.target());
     for (const auto& field : message) {
-      request.headers.emplace_back(std::string(field.name_string()),
-                                   std::string(field.value()));
+      request.headers.emplace_back(ToText(field.name_string()),
+                                   ToText(field.value()));
     }
     request.body = std::move(message.body());
     auto open = std::make_shared<OpenRequest>(this->shared_from_this());
--- a/packages/http/tests/exclusive_port_test.cc
+++ b/packages/http/tests/exclusive_port_test.cc
@@ -3,9 +3,11 @@
 #include <string>
 #include <thread>
 
-#include "CppUTest/TestHarness.h"
 #include "packages/http/http.h"
 
+// Redefines operator new, so it comes after the standard library.
+#include "CppUTest/TestHarness.h"
+
 namespace bramleyrail {
 namespace {
 
--- a/packages/placement/placement.h
+++ b/packages/placement/placement.h
@@ -6,8 +6,8 @@
 
 #include "packages/placement/baselines.h"
 #include "packages/placement/controller.h"
-#include "packages/placement/interference_model.h"
 #include "packages/placement/fleet.h"
+#include "packages/placement/interference_model.h"
 #include "packages/placement/placement_policy.h"
 #include "packages/placement/report_filter.h"
 #include "packages/placement/worker_monitor.h"
--- a/packages/queue/task_name.h
+++ b/packages/queue/task_name.h
@@ -16,13 +16,9 @@
   int64_t step = 0;
   int64_t index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report on defaulted <=>.
   auto operator<=>(const TaskName&) const = default;
   std::string ToString() const;
-  template <typename H>
-  friend H AbslHashValue(H state, const TaskName& name) {
-    return H::combine(std::move(state), name.job, name.occurrence, name.step,
-                      name.index);
-  }
 };
 
 std::optional<TaskName> ParseTaskName(std::string_view text);
