Control: Share the answers of commands and the way of the relay

Cause: six commands of the control service passed on their outcome in the same lines, and both roles built the same options of the relay.

Change: Acknowledge() in the service, ControlNetwork::RelayOptions().

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -50,7 +50,8 @@
     network_ = std::move(network);
     TRY(CreateQueue());
     CreateService();
-    CreateRelay();
+    relay_ = std::make_unique<LeaderRelay>(
+        loop_.get(), network_->RelayOptions(RelayedFrom::kOperatorOrWorker));
     TRY(control, AsyncHttpServer::Create(
                      loop_.get(), {.address = settings_.control_address},
                      [this](HttpRequest request, HttpResponder respond) {
@@ -138,20 +139,6 @@
     handle_control_ = hooks_.control_handler(service_.get());
   }
 
-  void CreateRelay() {
-    LeaderRelay::Options options;
-    options.from = RelayedFrom::kOperatorOrWorker;
-    options.instances = [this] { return network_->ControlInstances(); };
-    options.call = [this](std::string_view peer,
-                          std::span<const std::byte> payload,
-                          Milliseconds timeout, PeerCallCallback callback) {
-      network_->Learn(peer);
-      network_->network().Call(peer, PeerChannel::kControl, payload, timeout,
-                               std::move(callback));
-    };
-    relay_ = std::make_unique<LeaderRelay>(loop_.get(), std::move(options));
-  }
-
   void BindPeerChannels() {
     network_->network().SetMessageHandler(
         PeerChannel::kReplication,
--- a/packages/bramleyraild/control_network.cc
+++ b/packages/bramleyraild/control_network.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "packages/control/control.h"
-
 namespace bramleyrail {
 
 namespace {
@@ -74,6 +72,21 @@
   network_->AddPeer({std::string(name), {*ip, port_}});
 }
 
+LeaderRelay::Options ControlNetwork::RelayOptions(RelayedFrom from) {
+  LeaderRelay::Options options;
+  options.from = from;
+  options.instances = [this] { return ControlInstances(); };
+  options.call = [this](std::string_view peer,
+                        std::span<const std::byte> payload,
+                        Milliseconds timeout, PeerCallCallback callback) {
+    // The leader that another instance named may not be known yet.
+    Learn(peer);
+    network_->Call(peer, PeerChannel::kControl, payload, timeout,
+                   std::move(callback));
+  };
+  return options;
+}
+
 bool ControlNetwork::IsConnected() const {
   for (const PeerStatus& status : network_->Statuses()) {
     if (status.connected && ControlInstanceIp(status.info.name)) {
--- a/packages/bramleyraild/control_network.h
+++ b/packages/bramleyraild/control_network.h
@@ -10,6 +10,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "packages/bramleyraild/role_settings.h"
+#include "packages/control/control.h"
 #include "packages/peer/peer.h"
 
 namespace bramleyrail {
@@ -27,6 +28,8 @@
   std::vector<std::string> ControlInstances() const;
   // Dials a control instance that is not known yet.
   void Learn(std::string_view name);
+  // The way of a relay through this network.
+  LeaderRelay::Options RelayOptions(RelayedFrom from);
   // The own connection to a control instance is usable.
   bool IsConnected() const;
 
--- a/packages/bramleyraild/gateway_instance.cc
+++ b/packages/bramleyraild/gateway_instance.cc
@@ -44,17 +44,8 @@
   Result<void> Start() {
     TRY(network, ControlNetwork::Create(settings_));
     network_ = std::move(network);
-    LeaderRelay::Options relay_options;
-    relay_options.from = RelayedFrom::kCaller;
-    relay_options.instances = [this] { return network_->ControlInstances(); };
-    relay_options.call =
-        [this](std::string_view peer, std::span<const std::byte> payload,
-               Milliseconds timeout, PeerCallCallback callback) {
-          network_->Learn(peer);
-          network_->network().Call(peer, PeerChannel::kControl, payload,
-                                   timeout, std::move(callback));
-        };
-    relay_ = std::make_unique<LeaderRelay>(loop_.get(), relay_options);
+    relay_ = std::make_unique<LeaderRelay>(
+        loop_.get(), network_->RelayOptions(RelayedFrom::kCaller));
     TRY(callers, AsyncHttpServer::Create(
                      loop_.get(), {.address = settings_.caller_address},
                      [this](HttpRequest request, HttpResponder respond) {
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -33,6 +33,21 @@
   return JobView::kQueued;
 }
 
+// Passes on whether a command was committed.
+ControlService::Callback<QueueOutcome> Acknowledge(
+    std::function<void(const Result<QueueOutcome>&)> log,
+    ControlService::Callback<void> callback) {
+  return [log = std::move(log),
+          callback = std::move(callback)](const Result<QueueOutcome>& outcome) {
+    log(outcome);
+    if (!outcome) {
+      callback(outcome.error());
+      return;
+    }
+    callback(Success());
+  };
+}
+
 }  // namespace
 
 ControlService::ControlService(IoLoop* loop,
@@ -107,20 +122,19 @@
   command.target_latency_ms = queue.target_latency_ms;
   command.job = std::move(job);
   const std::string id = command.id;
-  Propose(std::move(command), [id, name = queue.name,
-                               callback = std::move(callback)](
-                                  const Result<QueueOutcome>& outcome) {
-    if (!outcome) {
+  const auto log = [id,
+                    name = queue.name](const Result<QueueOutcome>& outcome) {
+    if (outcome) {
+      LogEvent(
+          kJobAccepted,
+          {{"job", id}, {"queue", name}, {"new", outcome.value().changed}});
+    } else {
       LogEvent(kJobNotAccepted, {{"job", id},
                                  {"queue", name},
                                  {"error", outcome.error().ToString()}});
-      callback(outcome.error());
-      return;
     }
-    LogEvent(kJobAccepted,
-             {{"job", id}, {"queue", name}, {"new", outcome.value().changed}});
-    callback(Success());
-  });
+  };
+  Propose(std::move(command), Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::ReadJob(const QueuePath& path,
@@ -205,19 +219,14 @@
     return;
   }
   const int64_t version = configuration.version;
+  const auto log = [version](const Result<QueueOutcome>& outcome) {
+    LogEvent(kConfigurationOrdered,
+             {{"version", version},
+              {"accepted", outcome.has_value()},
+              {"changed", outcome && outcome.value().changed}});
+  };
   Propose(bramleyrail::ReplaceConfiguration{std::move(configuration)},
-          [version, callback = std::move(callback)](
-              const Result<QueueOutcome>& outcome) {
-            LogEvent(kConfigurationOrdered,
-                     {{"version", version},
-                      {"accepted", outcome.has_value()},
-                      {"changed", outcome && outcome.value().changed}});
-            if (!outcome) {
-              callback(outcome.error());
-              return;
-            }
-            callback(Success());
-          });
+          Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::ReadConfiguration(Callback<std::string> callback) {
@@ -251,18 +260,14 @@
     callback(NotLeading());
     return;
   }
-  Propose(bramleyrail::SetEvacuated{failure_domain, evacuated},
-          [failure_domain, evacuated, callback = std::move(callback)](
-              const Result<QueueOutcome>& outcome) {
-            LogEvent(kEvacuationOrdered, {{"failure_domain", failure_domain},
-                                          {"evacuated", evacuated},
-                                          {"accepted", outcome.has_value()}});
-            if (!outcome) {
-              callback(outcome.error());
-              return;
-            }
-            callback(Success());
-          });
+  const auto log = [failure_domain,
+                    evacuated](const Result<QueueOutcome>& outcome) {
+    LogEvent(kEvacuationOrdered, {{"failure_domain", failure_domain},
+                                  {"evacuated", evacuated},
+                                  {"accepted", outcome.has_value()}});
+  };
+  Propose(bramleyrail::SetEvacuated{std::move(failure_domain), evacuated},
+          Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::HandleHeartbeat(WorkerHeartbeat heartbeat,
@@ -289,23 +294,19 @@
     callback(Success());
     return;
   }
-  LogEvent(kWorkerRegistered,
-           {{"worker", registration.id},
-            {"started_unix_ms", registration.started_unix_ms},
-            {"address", registration.address},
-            {"pool", registration.pool},
-            {"failure_domain", registration.failure_domain},
-            {"draining", registration.draining},
-            {"sequence", heartbeat.sequence}});
-  Propose(
-      PutWorker{std::move(registration)},
-      [callback = std::move(callback)](const Result<QueueOutcome>& outcome) {
-        if (!outcome) {
-          callback(outcome.error());
-          return;
-        }
-        callback(Success());
-      });
+  const auto log = [registration, sequence = heartbeat.sequence](
+                       const Result<QueueOutcome>& outcome) {
+    LogEvent(kWorkerRegistered,
+             {{"worker", registration.id},
+              {"started_unix_ms", registration.started_unix_ms},
+              {"address", registration.address},
+              {"pool", registration.pool},
+              {"failure_domain", registration.failure_domain},
+              {"draining", registration.draining},
+              {"sequence", sequence},
+              {"accepted", outcome.has_value()}});
+  };
+  Propose(PutWorker{registration}, Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::RemoveWorker(std::string id, Callback<void> callback) {
@@ -313,17 +314,12 @@
     callback(NotLeading());
     return;
   }
+  const auto log = [id](const Result<QueueOutcome>& outcome) {
+    LogEvent(kWorkerWithdrawn,
+             {{"worker", id}, {"accepted", outcome.has_value()}});
+  };
   Propose(bramleyrail::RemoveWorker{id, 0},
-          [id, callback =
-                   std::move(callback)](const Result<QueueOutcome>& outcome) {
-            LogEvent(kWorkerWithdrawn,
-                     {{"worker", id}, {"accepted", outcome.has_value()}});
-            if (!outcome) {
-              callback(outcome.error());
-              return;
-            }
-            callback(Success());
-          });
+          Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::StartWave(UpkeepWave wave, Callback<void> callback) {
@@ -331,18 +327,12 @@
     callback(NotLeading());
     return;
   }
-  const int64_t number = wave.number;
+  const auto log = [number = wave.number](const Result<QueueOutcome>& outcome) {
+    LogEvent(kWaveOrdered,
+             {{"wave", number}, {"accepted", outcome.has_value()}});
+  };
   Propose(bramleyrail::StartWave{std::move(wave)},
-          [number, callback = std::move(callback)](
-              const Result<QueueOutcome>& outcome) {
-            LogEvent(kWaveOrdered,
-                     {{"wave", number}, {"accepted", outcome.has_value()}});
-            if (!outcome) {
-              callback(outcome.error());
-              return;
-            }
-            callback(Success());
-          });
+          Acknowledge(log, std::move(callback)));
 }
 
 void ControlService::ReadWave(int64_t number, Callback<bool> callback) {
