Dispatch: Learn disturbances as lost headroom, by pairs of images

Cause: runs of spare capacity ended late. The model learned the increase of the tail over half the target, capped, and smeared it over all images that stood together, so harmless runs were paced too; the time that a task had waited was never passed to the choice of its worker, so tasks without a calm worker waited for ever.

Change: HeadroomRegression, a recursive least squares of target over tail, by image with a target, image of the spare run and its phase (busy or light, from the processors in use). Saturated figures and those of workers that changed just now do not count. A spare run starts where it disturbs nothing, prefers workers that few other images fit, and may take more headroom as its job gets late. A paced run rises at once as far as the headroom allows.

Ruled out: shortage of processors. The load of one lasting task on another: no effect found in the figures.

Tests: the old tests of the pace policy trained a model that no longer exists; their cases are kept. "Speeds up" now asks for the full pace at once where nothing is disturbed, and a new case asks that a disturber stays slow.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -159,6 +159,7 @@
   if (deposed_) {
     return {};
   }
+  unix_ms_ = unix_ms;
   for (auto position = unreleased_.begin(); position != unreleased_.end();) {
     JobTrack* job = FindJob(*position);
     QueueReady(*job, job->Release(unix_ms));
@@ -234,8 +235,11 @@
                        const TaskName& task,
                        MonotonicTime now) {
   const JobStep& step = job->step(task);
-  RunRequest request{&job->job(), &step, task, job->task(task).avoid_worker,
-                     step.data_rack};
+  TaskTrack& track = job->task(task);
+  RunRequest request{
+      &job->job(),    &step,
+      task,           track.avoid_worker,
+      step.data_rack, Milliseconds(unix_ms_ - job->LatestStartUnixMs(task))};
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->RunsOf(task.job, task.occurrence, task.step) > 0) {
@@ -248,7 +252,7 @@
   if (worker == nullptr) {
     return false;
   }
-  Start(job, task, NextRun(job->task(task)), worker, now);
+  Start(job, task, NextRun(track), worker, now);
   return true;
 }
 
@@ -304,7 +308,6 @@
   TaskTrack& track = job->task(task);
   ready_.erase({job->job().priority, job->objective_unix_ms(), task});
   track.phase = TaskPhase::kActive;
-  track.ready_since.reset();
   track.worker = worker->registration().id;
   track.last_run = run;
   TrackedRun tracked;
@@ -316,6 +319,9 @@
   source.index = step.gang ? 0 : task.index;
   tracked.checkpoint = job->task(source).checkpoint;
   tracked.percent_changed = now;
+  if (step.uses_spare_capacity) {
+    tracked.pace = choice_.FirstPace(step, *worker, disturbance_);
+  }
   TrackedRun& added = worker->AddRun({task, run}, std::move(tracked));
   LogEvent(
       kRunStarted,
@@ -326,6 +332,7 @@
        {"resumed", !added.checkpoint.empty()},
        {"reserved_millis", worker->reserved().processor_millis},
        {"spare_millis", worker->spare_processor_millis()},
+       {"pace", added.pace},
        {"answer_age_ms",
         std::chrono::floor<Milliseconds>(now - worker->last_answer).count()}});
   ++counters_.starts;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -136,6 +136,7 @@
                 TrackedRun* run,
                 std::string_view reason,
                 MonotonicTime now);
+  void SendPace(WorkerTrack* worker, const RunKey& key, TrackedRun* run);
   void StepWorker(WorkerTrack* worker, MonotonicTime now);
   void RepeatOrders(WorkerTrack* worker, MonotonicTime now);
   void MoveOffLeavingWorker(WorkerTrack* worker, MonotonicTime now);
@@ -152,6 +153,7 @@
                    const LookAnswer& answer,
                    MonotonicTime sent,
                    MonotonicTime now);
+  void NoteFigures(TrackedRun* run, MonotonicTime now);
   void AdoptRun(WorkerTrack* worker,
                 const ListedRun& listed,
                 MonotonicTime now);
@@ -179,6 +181,7 @@
   std::map<std::string, int64_t> ends_seen_;
   std::map<uint64_t, std::map<std::string, int64_t>> batches_;
   uint64_t last_batch_ = 0;
+  int64_t unix_ms_ = 0;  // Of the current step.
   bool synchronized_ = false;
   bool knows_all_workers_ = false;
   bool deposed_ = false;
--- a/packages/dispatch/dispatcher_answers.cc
+++ b/packages/dispatch/dispatcher_answers.cc
@@ -18,6 +18,11 @@
 // Wait before a task that has failed starts again; doubles with each failure.
 constexpr Milliseconds kFailureBackoff{50};
 constexpr Milliseconds kMaximumFailureBackoff{2'000};
+// Figures cover the last half second.
+constexpr Milliseconds kFiguresAge{600};
+// A spare run that uses less than this share of the processors that it asked
+// for is in a light phase.
+constexpr double kBusyShare = 0.85;
 
 Milliseconds Backoff(int64_t failures) {
   const int64_t shift = std::clamp<int64_t>(failures - 1, 0, 10);
@@ -55,6 +60,12 @@
     run->phase = RunPhase::kRunning;
     run->confirmed = now;
     run->percent_changed = now;
+    if (run->step != nullptr && run->step->uses_spare_capacity) {
+      worker->spare_changed = now;
+    }
+    if (run->pace < run->confirmed_pace) {
+      SendPace(worker, key, run);
+    }
     if (JobTrack* job = FindJob(task.job)) {
       job->started = true;
     }
@@ -240,6 +251,7 @@
       run->percent_changed = now;
     }
     run->load = entry.load;
+    NoteFigures(run, now);
   }
   std::vector<RunKey> missing;
   for (const auto& [key, run] : worker->runs()) {
@@ -259,6 +271,26 @@
   }
 }
 
+void Dispatcher::NoteFigures(TrackedRun* run, MonotonicTime now) {
+  if (!IsOverTarget(*run)) {
+    run->over_since.reset();
+  } else if (!run->over_since) {
+    run->over_since = now;
+  }
+  const bool settled = run->confirmed && now - *run->confirmed > kFiguresAge &&
+                       now - run->pace_changed > kFiguresAge;
+  if (run->step == nullptr || !run->step->uses_spare_capacity || !run->load ||
+      !settled || run->confirmed_pace == 0) {
+    return;
+  }
+  const double asked = static_cast<double>(run->reserved.processor_millis *
+                                           run->confirmed_pace) /
+                       100;
+  run->spare_phase = static_cast<double>(*run->load) >= kBusyShare * asked
+                         ? SparePhase::kBusy
+                         : SparePhase::kLight;
+}
+
 void Dispatcher::AdoptRun(WorkerTrack* worker,
                           const ListedRun& listed,
                           MonotonicTime now) {
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -21,9 +21,6 @@
 constexpr Milliseconds kContactLimit{2'500};
 // Longest wait of a look while a run with a target is over it.
 constexpr Milliseconds kOverTargetWait{300};
-// A worker with a run over its target gets no new runs of spare capacity for
-// this long, unless there is no other.
-constexpr Milliseconds kAvoidSpareFor{3'000};
 // Failures in a row after which a worker gets no new runs for a while.
 constexpr int kFailuresBeforeAvoided = 3;
 constexpr Milliseconds kAvoidedFor{8'000};
@@ -239,10 +236,16 @@
   ProtectTargets(worker, now);
 }
 
+void Dispatcher::SendPace(WorkerTrack* worker,
+                          const RunKey& key,
+                          TrackedRun* run) {
+  run->pace_in_flight = true;
+  ++counters_.paces;
+  orders_.push_back(
+      {worker->Address(), PaceOrder{key.first, key.second, run->pace}});
+}
+
 void Dispatcher::ProtectTargets(WorkerTrack* worker, MonotonicTime now) {
-  if (HasRunOverTarget(*worker)) {
-    worker->avoid_spare_until = now + kAvoidSpareFor;
-  }
   for (const PacePolicy::Change& change :
        pace_policy_.Decide(*worker, disturbance_, now)) {
     TrackedRun* run = worker->FindRun(change.run);
@@ -261,11 +264,7 @@
                          {"disturbance", change.disturbance}});
     run->pace = change.percent;
     run->pace_changed = now;
-    run->pace_in_flight = true;
-    ++counters_.paces;
-    orders_.push_back(
-        {worker->Address(),
-         PaceOrder{change.run.first, change.run.second, change.percent}});
+    SendPace(worker, change.run, run);
   }
 }
 
--- a/packages/dispatch/disturbance_model.cc
+++ b/packages/dispatch/disturbance_model.cc
@@ -1,56 +1,60 @@
 #include "packages/dispatch/disturbance_model.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
 
 namespace bramleyrail {
 
 namespace {
 
-// Paces count in quarters, as the model counts whole neighbours.
-constexpr int32_t kUnitsAtFullPace = 4;
-constexpr int64_t kPercentPerUnit = 100 / kUnitsAtFullPace;
-// Figures cover the last half second. Runs that ended or were paced within this
-// time are still in them; a run that is younger is not in them in full.
+// Figures cover the last half second, so those of a worker whose spare runs
+// changed within this time mix two states.
 constexpr Milliseconds kFiguresSettle{600};
-constexpr Milliseconds kCountsAfter{350};
-// A calm tail is about this share of the target.
-constexpr double kCalmShare = 0.5;
+// A run with a target that is younger has figures of its start.
+constexpr Milliseconds kFiguresValidAfter{1'200};
 // Figures are rough, so a run counts as over its target a little before.
-constexpr double kOverShare = 0.95;
-
-int32_t KindOf(const std::string& image) {
-  return static_cast<int32_t>(Hash64(image, 0));
-}
+constexpr double kOverHeadroom = 1.05;
+// An effect counts only as far as it is surely there, so that unknown pairs are
+// tried: the mean less this many deviations.
+constexpr double kDoubt = 1;
+// Losses below this, at a share of 1, are within the noise of the figures.
+constexpr double kLeastLoss = 2.0;
 
 bool IsSpare(const TrackedRun& run) {
   return run.step != nullptr && run.step->uses_spare_capacity;
 }
 
-bool HasFiguresAndTarget(const TrackedRun& run) {
-  return run.step != nullptr && run.step->target_latency_ms > 0 &&
-         run.load.has_value() && run.phase == RunPhase::kRunning;
+bool HasTarget(const TrackedRun& run) {
+  return run.step != nullptr && run.step->target_latency_ms > 0;
 }
 
-// `confirmed_before`: leaves out runs that were confirmed later than this.
-KindCounts SpareUnits(const WorkerTrack& worker,
-                      MonotonicTime confirmed_before) {
-  KindCounts units;
-  for (const auto& [key, run] : worker.runs()) {
-    if (IsSpare(run) &&
-        run.confirmed.value_or(run.order_sent) <= confirmed_before) {
-      units[KindOf(run.step->image)] +=
-          static_cast<int32_t>(run.confirmed_pace / kPercentPerUnit);
-    }
-  }
-  return units;
+double ShareOf(int64_t processor_millis, int64_t capacity_millis) {
+  return static_cast<double>(processor_millis) /
+         static_cast<double>(std::max<int64_t>(capacity_millis, 1));
+}
+
+double SureLoss(const HeadroomRegression::Loss& loss) {
+  const double sure = loss.mean - kDoubt * loss.deviation;
+  return sure < kLeastLoss ? 0 : loss.mean;
 }
 
 }  // namespace
 
+std::optional<double> HeadroomOf(const TrackedRun& run) {
+  // The figure of a run without requests is 0.
+  if (!HasTarget(run) || run.phase != RunPhase::kRunning ||
+      run.load.value_or(0) <= 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(run.step->target_latency_ms) /
+         static_cast<double>(*run.load);
+}
+
 bool IsOverTarget(const TrackedRun& run) {
-  return HasFiguresAndTarget(run) &&
-         static_cast<double>(*run.load) >
-             kOverShare * static_cast<double>(run.step->target_latency_ms);
+  const auto headroom = HeadroomOf(run);
+  return headroom && *headroom < kOverHeadroom;
 }
 
 bool HasRunOverTarget(const WorkerTrack& worker) {
@@ -59,64 +63,141 @@
       [](const auto& item) { return IsOverTarget(item.second); });
 }
 
+size_t DisturbanceModel::SourceOf(const std::string& image,
+                                  SparePhase phase) const {
+  const auto found = spare_images_.find(image);
+  const size_t number =
+      found == spare_images_.end() ? spare_images_.size() : found->second;
+  return 2 * number + (phase == SparePhase::kBusy ? 0 : 1);
+}
+
+const HeadroomRegression* DisturbanceModel::FindRegression(
+    const std::string& image) const {
+  const auto found = regressions_.find(image);
+  return found == regressions_.end() ? nullptr : &found->second;
+}
+
 void DisturbanceModel::Observe(const WorkerTrack& worker, MonotonicTime now) {
   if (now - worker.spare_changed < kFiguresSettle) {
     return;
   }
-  const KindCounts units = SpareUnits(worker, now - kCountsAfter);
-  if (units.empty()) {
-    return;
-  }
+  const int64_t capacity = worker.registration().capacity.processor_millis;
+  std::map<size_t, double> shares;
+  std::map<std::string, std::pair<double, int>> headrooms;
   for (const auto& [key, run] : worker.runs()) {
-    // The figure of a run without requests is 0.
-    if (!HasFiguresAndTarget(run) || *run.load <= 0) {
-      continue;
+    if (IsSpare(run)) {
+      spare_images_.try_emplace(run.step->image, spare_images_.size());
+      shares[SourceOf(run.step->image, run.spare_phase)] +=
+          ShareOf(run.load.value_or(0), capacity);
+    }
+    const auto headroom = HeadroomOf(run);
+    if (headroom && run.confirmed &&
+        now - *run.confirmed > kFiguresValidAfter) {
+      auto& [sum, count] = headrooms[run.step->image];
+      sum += *headroom;
+      ++count;
+    }
+  }
+  std::vector<HeadroomRegression::Pressure> pressures;
+  for (const auto& [source, share] : shares) {
+    if (share > 0) {
+      pressures.push_back({source, share});
     }
-    const double calm =
-        kCalmShare * static_cast<double>(run.step->target_latency_ms);
-    const auto slowdown_permille =
-        static_cast<int64_t>(1'000 * static_cast<double>(*run.load) / calm);
-    model_.Observe(KindOf(run.step->image), units, slowdown_permille, now);
   }
+  for (const auto& [image, sum] : headrooms) {
+    regressions_[image].Observe(pressures, sum.first / sum.second, sum.second);
+  }
+}
+
+DisturbanceModel::Effect DisturbanceModel::EffectOf(
+    const JobStep& disturbed,
+    const JobStep& spare,
+    SparePhase phase,
+    int64_t percent,
+    int64_t capacity_millis) const {
+  const HeadroomRegression* regression = FindRegression(disturbed.image);
+  const HeadroomRegression::Loss loss =
+      (regression == nullptr ? HeadroomRegression() : *regression)
+          .LossOf(SourceOf(spare.image, phase));
+  const double share =
+      ShareOf(spare.size.processor_millis * percent / 100, capacity_millis);
+  return {share * SureLoss(loss), share * loss.deviation};
 }
 
-double DisturbanceModel::Effect(const JobStep& disturbed,
-                                const JobStep& spare_step) const {
-  return kUnitsAtFullPace *
-         model_.Effect(KindOf(disturbed.image), KindOf(spare_step.image));
+double DisturbanceModel::LossFromSpare(const HeadroomRegression& regression,
+                                       const WorkerTrack& worker) const {
+  const int64_t capacity = worker.registration().capacity.processor_millis;
+  double loss = 0;
+  for (const auto& [key, run] : worker.runs()) {
+    if (IsSpare(run)) {
+      // It may become busy at any moment.
+      loss +=
+          ShareOf(run.reserved.processor_millis * run.pace / 100, capacity) *
+          SureLoss(
+              regression.LossOf(SourceOf(run.step->image, SparePhase::kBusy)));
+    }
+  }
+  return loss;
 }
 
-double DisturbanceModel::ToNeighbours(const JobStep& spare_step,
-                                      const WorkerTrack& worker) const {
-  double sum = 0;
+double DisturbanceModel::LowestHeadroomWith(const JobStep& spare,
+                                            const WorkerTrack& worker,
+                                            int64_t percent) const {
+  const int64_t capacity = worker.registration().capacity.processor_millis;
+  double lowest = std::numeric_limits<double>::infinity();
+  std::vector<std::string_view> seen;
   for (const auto& [key, run] : worker.runs()) {
-    if (run.step != nullptr && run.step->target_latency_ms > 0) {
-      sum += Effect(*run.step, spare_step);
+    if (!HasTarget(run) ||
+        std::find(seen.begin(), seen.end(), run.step->image) != seen.end()) {
+      continue;
+    }
+    seen.push_back(run.step->image);
+    const HeadroomRegression* regression = FindRegression(run.step->image);
+    if (regression == nullptr) {
+      continue;
+    }
+    const double own =
+        EffectOf(*run.step, spare, SparePhase::kBusy, percent, capacity).loss;
+    if (own > 0) {
+      lowest = std::min(lowest, regression->LowCalmHeadroom() - own -
+                                    LossFromSpare(*regression, worker));
     }
   }
-  return sum;
+  return lowest;
 }
 
-double DisturbanceModel::HighestWith(const JobStep& spare_step,
-                                     const WorkerTrack& worker,
-                                     int64_t percent) const {
-  const double share = static_cast<double>(percent) / 100;
-  const KindCounts units = SpareUnits(worker, MonotonicTime::max());
-  double highest = 0;
+double DisturbanceModel::Openness(const WorkerTrack& worker) const {
+  std::vector<const HeadroomRegression*> beside;
   for (const auto& [key, run] : worker.runs()) {
-    if (run.step != nullptr && run.step->target_latency_ms > 0) {
-      highest = std::max(
-          highest, share * Effect(*run.step, spare_step) +
-                       model_.ExpectedSlowdown(KindOf(run.step->image), units));
+    const HeadroomRegression* regression =
+        HasTarget(run) ? FindRegression(run.step->image) : nullptr;
+    if (regression != nullptr &&
+        std::find(beside.begin(), beside.end(), regression) == beside.end()) {
+      beside.push_back(regression);
     }
   }
-  return highest;
+  double open = 0;
+  for (const auto& [image, number] : spare_images_) {
+    const size_t source = SourceOf(image, SparePhase::kBusy);
+    open += std::any_of(beside.begin(), beside.end(),
+                        [source](const HeadroomRegression* regression) {
+                          return SureLoss(regression->LossOf(source)) > 0;
+                        })
+                ? 0
+                : 1;
+  }
+  return spare_images_.empty()
+             ? 1
+             : open / static_cast<double>(spare_images_.size());
 }
 
-double DisturbanceModel::FromNeighbours(const JobStep& step,
-                                        const WorkerTrack& worker) const {
-  return model_.ExpectedSlowdown(KindOf(step.image),
-                                 SpareUnits(worker, MonotonicTime::max()));
+double DisturbanceModel::HeadroomBeside(const WorkerTrack& worker,
+                                        const JobStep& step) const {
+  const HeadroomRegression* regression = FindRegression(step.image);
+  if (regression == nullptr) {
+    return HeadroomRegression().LowCalmHeadroom();
+  }
+  return regression->LowCalmHeadroom() - LossFromSpare(*regression, worker);
 }
 
 }  // namespace bramleyrail
--- a/packages/dispatch/disturbance_model.h
+++ b/packages/dispatch/disturbance_model.h
@@ -1,40 +1,62 @@
 #ifndef PACKAGES_DISPATCH_DISTURBANCE_MODEL_H_
 #define PACKAGES_DISPATCH_DISTURBANCE_MODEL_H_
 
-#include <cstdint>
+#include <cstddef>
+#include <map>
 #include <string>
 
+#include "packages/dispatch/headroom_regression.h"
 #include "packages/dispatch/worker_track.h"
-#include "packages/placement/placement.h"
 
 namespace bramleyrail {
 
-// Learns from the figures of the workers how much runs of spare capacity raise
-// the tail latency of runs with a target beside them, by pairs of images. A
-// disturbance of 1 takes a run from a calm tail to its target.
+// Learns from the figures of the workers which images of spare runs raise the
+// tail latency of which images with a target beside them. The headroom of a run
+// is its target over its tail latency: below 1 the target is missed.
 class DisturbanceModel {
  public:
+  // Headroom that a spare run takes from a run of another step.
+  struct Effect {
+    double loss = 0;       // Expected; never negative.
+    double deviation = 0;  // Of the expectation.
+  };
+
   // Takes over the newest figures of a worker.
   void Observe(const WorkerTrack& worker, MonotonicTime now);
 
-  // What one more run of the step would do to the runs with targets there.
-  double ToNeighbours(const JobStep& spare_step,
-                      const WorkerTrack& worker) const;
-  // The highest disturbance of a run with a target there after one more run of
-  // the step at that pace.
-  double HighestWith(const JobStep& spare_step,
-                     const WorkerTrack& worker,
-                     int64_t percent) const;
-  // What the runs of spare capacity there do to a run of this step.
-  double FromNeighbours(const JobStep& step, const WorkerTrack& worker) const;
-  // What a run at full pace of one step does to a run of another.
-  double Effect(const JobStep& disturbed, const JobStep& spare_step) const;
+  // Effect of a spare run of that step at a pace, in percent, on a worker of
+  // that capacity. A run in its light phase disturbs less than a busy one.
+  Effect EffectOf(const JobStep& disturbed,
+                  const JobStep& spare,
+                  SparePhase phase,
+                  int64_t percent,
+                  int64_t capacity_millis) const;
+
+  // The lowest headroom among the runs with a target on the worker after one
+  // more spare run at that pace, in the worse part of the time. Infinite when
+  // none is disturbed.
+  double LowestHeadroomWith(const JobStep& spare,
+                            const WorkerTrack& worker,
+                            int64_t percent) const;
+  // Share of the known images of spare runs that disturb no run with a target
+  // on the worker.
+  double Openness(const WorkerTrack& worker) const;
+  // Headroom that the spare runs on the worker leave one more run of the step.
+  double HeadroomBeside(const WorkerTrack& worker, const JobStep& step) const;
 
  private:
-  InterferenceModel model_;
+  size_t SourceOf(const std::string& image, SparePhase phase) const;
+  const HeadroomRegression* FindRegression(const std::string& image) const;
+  double LossFromSpare(const HeadroomRegression& regression,
+                       const WorkerTrack& worker) const;
+
+  std::map<std::string, size_t> spare_images_;  // Numbered as they appear.
+  std::map<std::string, HeadroomRegression> regressions_;
 };
 
-// The run has figures that are over its target, or close to it.
+// Target over tail latency, or nullopt without figures.
+std::optional<double> HeadroomOf(const TrackedRun& run);
+// The run misses its target, or almost.
 bool IsOverTarget(const TrackedRun& run);
 bool HasRunOverTarget(const WorkerTrack& worker);
 
--- a/packages/dispatch/job_track.cc
+++ b/packages/dispatch/job_track.cc
@@ -7,19 +7,17 @@
 
 namespace {
 
-// Duration of the longest chain of steps, by the estimates.
-int64_t LongestChainMs(const JobSpecification& job) {
-  std::vector<int64_t> ends;
-  int64_t longest = 0;
-  for (const JobStep& step : job.steps) {
-    int64_t start = 0;
-    for (const int64_t predecessor : step.predecessors) {
-      start = std::max(start, ends[predecessor]);
+// For each step, the duration of the longest chain of steps that starts with
+// it, by the estimates.
+std::vector<int64_t> ChainsFromEachStep(const JobSpecification& job) {
+  std::vector<int64_t> chains(job.steps.size(), 0);
+  for (size_t step = job.steps.size(); step-- > 0;) {
+    chains[step] += job.steps[step].estimated_ms;
+    for (const int64_t predecessor : job.steps[step].predecessors) {
+      chains[predecessor] = std::max(chains[predecessor], chains[step]);
     }
-    ends.push_back(start + step.estimated_ms);
-    longest = std::max(longest, ends.back());
   }
-  return longest;
+  return chains;
 }
 
 }  // namespace
@@ -27,11 +25,16 @@
 JobTrack::JobTrack(std::shared_ptr<const QueuedJob> job, Origin origin)
     : job_(std::move(job)), origin_(origin) {
   const JobSpecification& specification = job_->job;
+  chains_ms_ = ChainsFromEachStep(specification);
+  const int64_t longest_ms =
+      chains_ms_.empty()
+          ? 0
+          : *std::max_element(chains_ms_.begin(), chains_ms_.end());
   objective_unix_ms_ =
       std::max(job_->submitted_unix_ms, specification.first_unix_ms) +
       job_->target_latency_ms +
       static_cast<int64_t>(job_->stretch_factor *
-                           static_cast<double>(LongestChainMs(specification)));
+                           static_cast<double>(longest_ms));
   for (int64_t number = 0; number < specification.Occurrences(); ++number) {
     OccurrenceTrack& occurrence = occurrences_.emplace_back();
     if (specification.repetitions > 0) {
@@ -59,6 +62,12 @@
   }
 }
 
+int64_t JobTrack::LatestStartUnixMs(const TaskName& name) const {
+  const JobSpecification& specification = job_->job;
+  return objective_unix_ms_ + name.occurrence * specification.interval_ms -
+         chains_ms_[name.step];
+}
+
 bool JobTrack::Names(const TaskName& name) const {
   return name.occurrence < static_cast<int64_t>(occurrences_.size()) &&
          name.step < static_cast<int64_t>(job_->job.steps.size()) &&
--- a/packages/dispatch/job_track.h
+++ b/packages/dispatch/job_track.h
@@ -19,8 +19,6 @@
   int64_t failures = 0;
   std::string checkpoint;
   MonotonicTime not_before;  // Of the next start.
-  // When it was first looked at since it became ready.
-  std::optional<MonotonicTime> ready_since;
   std::string worker;        // While active.
   std::string avoid_worker;  // Where the last run failed.
 };
@@ -68,6 +66,8 @@
 
   // Unix time by which the job has to end for its objective.
   int64_t objective_unix_ms() const { return objective_unix_ms_; }
+  // The latest start of a task of the step for that, by the estimates.
+  int64_t LatestStartUnixMs(const TaskName& task) const;
   bool started = false;
 
  private:
@@ -76,6 +76,7 @@
   const std::shared_ptr<const QueuedJob> job_;
   const Origin origin_;
   std::vector<OccurrenceTrack> occurrences_;
+  std::vector<int64_t> chains_ms_;  // From the start of each step to the end.
   int64_t objective_unix_ms_ = 0;
 };
 
--- a/packages/dispatch/pace_policy.cc
+++ b/packages/dispatch/pace_policy.cc
@@ -8,25 +8,35 @@
 
 // Paces are quarters: each order costs a call, and a finer pace changes little.
 constexpr int64_t kPaceStep = 25;
-// A run is a suspect when its expected disturbance is at least this share of
-// the strongest one.
-constexpr double kSuspectShare = 0.6;
-// Below this no known effect explains a run over its target, and every run
-// beside it is a suspect.
-constexpr double kKnownDisturbance = 0.4;
-// A run moves away when it disturbs a run that is over its target this much.
-constexpr double kMoveDisturbance = 0.6;
+// Headroom that a slowdown aims for, and that a rise must leave. The load of a
+// run with a target changes within seconds.
+constexpr double kSlowdownGoal = 1.3;
+constexpr double kRiseGoal = 1.5;
+// Below this headroom the queue is saturated, and a figure does not tell how
+// much the disturbers have to slow down.
+constexpr double kSaturatedHeadroom = 0.5;
+// A run is a known disturber when it is expected to take this much.
+constexpr double kKnownLoss = 0.1;
+// A run is a suspect when it may take this much.
+constexpr double kSuspectDeviation = 0.2;
 // A run without checkpoints moves while it has done no more than this.
 constexpr int64_t kRepeatedPercent = 40;
 // Figures follow a change of pace with this delay.
 constexpr Milliseconds kSettle{700};
 // A run speeds up again only after this long without a change.
-constexpr Milliseconds kCalmBeforeRise{1'000};
-// A pace rises only to a share at which this disturbance is expected at most.
-constexpr double kRiseLimit = 0.5;
-// A paused run may have been paused for another's fault, so after this long it
+constexpr Milliseconds kCalmBeforeRise{700};
+// A paced run may have been paced for another's fault, so after this long it
 // may try again in any case.
 constexpr Milliseconds kLongestPause{2'500};
+// After this long over its target, a run is protected from every spare run,
+// whatever the model expects: the users' limit is 4 s.
+constexpr Milliseconds kLongestMiss{1'800};
+
+struct Disturber {
+  const RunKey* key = nullptr;
+  const TrackedRun* run = nullptr;
+  double loss = 0;
+};
 
 bool IsPaceable(const TrackedRun& run) {
   return run.step != nullptr && run.step->uses_spare_capacity &&
@@ -38,20 +48,8 @@
   return run.step->checkpointing || run.percent <= kRepeatedPercent;
 }
 
-double Strongest(const TrackedRun& spare,
-                 const std::vector<const TrackedRun*>& disturbed,
-                 const DisturbanceModel& model) {
-  double strongest = 0;
-  for (const TrackedRun* run : disturbed) {
-    strongest = std::max(strongest, model.Effect(*run->step, *spare.step));
-  }
-  return strongest;
-}
-
-bool IsCalmWith(const TrackedRun& run,
-                const WorkerTrack& worker,
-                const DisturbanceModel& model) {
-  return model.HighestWith(*run.step, worker, kPaceStep) <= kRiseLimit;
+int64_t Capacity(const WorkerTrack& worker) {
+  return worker.registration().capacity.processor_millis;
 }
 
 // A run that stays paused finds no place on this worker.
@@ -62,35 +60,83 @@
   for (const auto& [key, run] : worker.runs()) {
     if (IsPaceable(run) && run.pace == 0 && IsMovable(run) &&
         now - run.pace_changed >= kCalmBeforeRise &&
-        !IsCalmWith(run, worker, model)) {
+        model.LowestHeadroomWith(*run.step, worker, kPaceStep) < kRiseGoal) {
       changes->push_back({key, 0, 0, true});
     }
   }
 }
 
+// The highest pace that leaves every run with a target enough headroom.
+int64_t HighestPace(const TrackedRun& spare,
+                    const WorkerTrack& worker,
+                    const DisturbanceModel& model) {
+  for (int64_t percent = 100; percent > spare.pace; percent -= kPaceStep) {
+    const auto stays_calm = [&](const auto& item) {
+      const auto headroom = HeadroomOf(item.second);
+      return !headroom ||
+             *headroom - model
+                             .EffectOf(*item.second.step, *spare.step,
+                                       SparePhase::kBusy, percent - spare.pace,
+                                       Capacity(worker))
+                             .loss >=
+                 kRiseGoal;
+    };
+    if (std::all_of(worker.runs().begin(), worker.runs().end(), stays_calm)) {
+      return percent;
+    }
+  }
+  return spare.pace;
+}
+
 void RaiseSlowest(const WorkerTrack& worker,
                   const DisturbanceModel& model,
                   MonotonicTime now,
                   std::vector<PacePolicy::Change>* changes) {
   const std::pair<const RunKey, TrackedRun>* slowest = nullptr;
+  int64_t highest = 0;
   for (const auto& item : worker.runs()) {
     const TrackedRun& run = item.second;
-    const Milliseconds unchanged =
-        std::chrono::floor<Milliseconds>(now - run.pace_changed);
-    const bool due =
-        IsPaceable(run) && run.pace < 100 && unchanged >= kCalmBeforeRise &&
-        (unchanged >= kLongestPause || IsCalmWith(run, worker, model));
-    if (due && (slowest == nullptr || run.pace < slowest->second.pace)) {
+    const auto unchanged = now - run.pace_changed;
+    if (!IsPaceable(run) || run.pace >= 100 || unchanged < kCalmBeforeRise ||
+        (slowest != nullptr && run.pace >= slowest->second.pace)) {
+      continue;
+    }
+    int64_t percent = HighestPace(run, worker, model);
+    if (percent == run.pace && unchanged >= kLongestPause) {
+      percent = std::min<int64_t>(run.pace + kPaceStep, 100);
+    }
+    if (percent > run.pace) {
       slowest = &item;
+      highest = percent;
     }
   }
   if (slowest != nullptr) {
-    changes->push_back(
-        {slowest->first,
-         std::min<int64_t>(slowest->second.pace + kPaceStep, 100), 0});
+    changes->push_back({slowest->first, highest, 0});
   }
 }
 
+// Spare runs that take, or may take, headroom from the run.
+std::vector<Disturber> DisturbersOf(const TrackedRun& disturbed,
+                                    const WorkerTrack& worker,
+                                    const DisturbanceModel& model,
+                                    double* known_loss) {
+  std::vector<Disturber> disturbers;
+  *known_loss = 0;
+  for (const auto& [key, run] : worker.runs()) {
+    if (!IsPaceable(run) || run.pace == 0) {
+      continue;
+    }
+    const DisturbanceModel::Effect effect =
+        model.EffectOf(*disturbed.step, *run.step, run.spare_phase, run.pace,
+                       Capacity(worker));
+    if (effect.loss >= kKnownLoss) {
+      disturbers.push_back({&key, &run, effect.loss});
+      *known_loss += effect.loss;
+    }
+  }
+  return disturbers;
+}
+
 }  // namespace
 
 std::vector<PacePolicy::Change> PacePolicy::Decide(
@@ -98,8 +144,6 @@
     const DisturbanceModel& model,
     MonotonicTime now) const {
   std::vector<Change> changes;
-  const Milliseconds unchanged =
-      std::chrono::floor<Milliseconds>(now - worker.pace_lowered);
   for (const auto& [key, run] : worker.runs()) {
     if (IsPaceable(run) && run.pace != run.confirmed_pace &&
         !run.pace_in_flight) {
@@ -109,38 +153,58 @@
   if (!changes.empty()) {
     return changes;
   }
-  std::vector<const TrackedRun*> disturbed;
-  for (const auto& [key, run] : worker.runs()) {
-    if (IsOverTarget(run)) {
-      disturbed.push_back(&run);
-    }
-  }
   MovePaused(worker, model, now, &changes);
-  if (disturbed.empty()) {
+  if (!HasRunOverTarget(worker)) {
     RaiseSlowest(worker, model, now, &changes);
     return changes;
   }
-  if (unchanged < kSettle) {
+  if (now - worker.pace_lowered < kSettle) {
     return changes;  // The figures are older than the last change.
   }
-  double worst = 0;
-  for (const auto& [key, run] : worker.runs()) {
-    if (IsPaceable(run) && run.pace > 0) {
-      worst = std::max(worst, Strongest(run, disturbed, model));
+  const auto lower = [&](const RunKey& key, const TrackedRun& run,
+                         int64_t percent, double loss) {
+    const bool listed =
+        std::any_of(changes.begin(), changes.end(),
+                    [&](const Change& change) { return change.run == key; });
+    if (!listed && percent < run.pace) {
+      changes.push_back({key, percent, loss, percent == 0 && IsMovable(run)});
     }
-  }
-  for (const auto& [key, run] : worker.runs()) {
-    if (!IsPaceable(run) || run.pace == 0) {
+  };
+  for (const auto& [disturbed_key, disturbed] : worker.runs()) {
+    if (!IsOverTarget(disturbed)) {
+      continue;
+    }
+    const double headroom = *HeadroomOf(disturbed);
+    double known_loss = 0;
+    const auto disturbers = DisturbersOf(disturbed, worker, model, &known_loss);
+    // The share of the disturbance that may stay.
+    const double needed = kSlowdownGoal - headroom;
+    const double kept = headroom < kSaturatedHeadroom || known_loss <= needed
+                            ? 0
+                            : 1 - needed / known_loss;
+    for (const Disturber& disturber : disturbers) {
+      const auto percent =
+          static_cast<int64_t>(kept * static_cast<double>(disturber.run->pace));
+      lower(*disturber.key, *disturber.run, percent / kPaceStep * kPaceStep,
+            disturber.loss);
+    }
+    const bool missed_long =
+        disturbed.over_since && now - *disturbed.over_since >= kLongestMiss;
+    if (!disturbers.empty() && !missed_long) {
       continue;
     }
-    const double strongest = Strongest(run, disturbed, model);
-    const bool known = worst >= kKnownDisturbance;
-    if (!known || strongest >= kSuspectShare * worst) {
-      // A known disturber stops at once; an unknown one is halved first.
-      const int64_t percent =
-          known || run.pace <= 2 * kPaceStep ? 0 : run.pace / 2;
-      changes.push_back({key, percent, strongest,
-                         strongest >= kMoveDisturbance && IsMovable(run)});
+    for (const auto& [key, run] : worker.runs()) {
+      if (!IsPaceable(run) || run.pace == 0) {
+        continue;
+      }
+      const DisturbanceModel::Effect effect =
+          model.EffectOf(*disturbed.step, *run.step, run.spare_phase, run.pace,
+                         Capacity(worker));
+      if (missed_long || effect.deviation >= kSuspectDeviation) {
+        const int64_t percent =
+            run.pace > 2 * kPaceStep ? run.pace / 2 / kPaceStep * kPaceStep : 0;
+        lower(key, run, percent, effect.loss);
+      }
     }
   }
   return changes;
--- a/packages/dispatch/pace_policy.h
+++ b/packages/dispatch/pace_policy.h
@@ -9,14 +9,15 @@
 namespace bramleyrail {
 
 // Protects runs with a target latency from the runs of spare capacity beside
-// them: those that most likely disturb are slowed down at once, and sped up
-// again step by step while all is well.
+// them: those that take their headroom are slowed down as far as needed, or
+// move away, and are sped up again as far as the headroom allows.
 class PacePolicy {
  public:
   struct Change {
     RunKey run;
     int64_t percent = 100;
-    // Expected disturbance of the run that is over its target; 0 on a rise.
+    // Expected loss of headroom of the run that is over its target; 0 on a
+    // rise.
     double disturbance = 0;
     // The run should go to another worker instead.
     bool move = false;
--- a/packages/dispatch/tests/pace_policy_test.cc
+++ b/packages/dispatch/tests/pace_policy_test.cc
@@ -1,95 +1,90 @@
 #include "packages/dispatch/pace_policy.h"
 
+#include "packages/dispatch/fakes/worker_with_target.h"
+
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
 
 namespace bramleyrail {
 namespace {
 
-constexpr int64_t kTargetMs = 20;
-
-// A worker with one run that has a target, and runs of spare capacity.
-class WorkerWithTarget {
- public:
-  WorkerWithTarget() : worker_({.id = "w", .capacity = {16'000, 64'000, 0}}) {
-    serving_.long_running = true;
-    serving_.target_latency_ms = kTargetMs;
-    serving_.image = "serving";
-    spare_.uses_spare_capacity = true;
-    spare_.image = "spare";
-    TrackedRun run;
-    run.phase = RunPhase::kRunning;
-    run.step = &serving_;
-    worker_.AddRun({{"serving", 0, 0, 0}, 1}, run);
-  }
-
-  RunKey AddSpare(const std::string& job, int64_t pace, int64_t percent) {
-    TrackedRun run;
-    run.phase = RunPhase::kRunning;
-    run.step = &spare_;
-    run.pace = pace;
-    run.confirmed_pace = pace;
-    run.percent = percent;
-    const RunKey key({job, 0, 0, 0}, 1);
-    worker_.AddRun(key, run);
-    return key;
-  }
-
-  void SetTail(int64_t tail_ms) {
-    worker_.FindRun({{"serving", 0, 0, 0}, 1})->load = tail_ms;
-  }
+constexpr int64_t kTargetMs = WorkerWithTarget::kTargetMs;
 
-  std::vector<PacePolicy::Change> Decide() {
-    return PacePolicy().Decide(worker_, model_,
-                               MonotonicTime(std::chrono::hours(1)));
-  }
-
-  DisturbanceModel& model() { return model_; }
-  WorkerTrack& worker() { return worker_; }
+std::vector<PacePolicy::Change> Decide(WorkerWithTarget* worker,
+                                       const DisturbanceModel& model) {
+  return PacePolicy().Decide(worker->track(), model, WorkerWithTarget::Now());
+}
 
- private:
-  JobStep serving_;
-  JobStep spare_;
-  WorkerTrack worker_;
+TEST_GROUP(PacePolicy) {
+  const JobStep disturber_ = WorkerWithTarget::SpareStep("disturber");
+  const JobStep harmless_ = WorkerWithTarget::SpareStep("harmless");
   DisturbanceModel model_;
+  WorkerWithTarget worker_;
 };
 
-TEST_GROUP(PacePolicy){};
-
-// Guards against a target that stays missed beside a run at full pace.
-TEST(PacePolicy, SlowsARunBesideAMissedTarget) {
-  WorkerWithTarget worker;
-  const RunKey spare = worker.AddSpare("a", 100, 10);
-  worker.SetTail(3 * kTargetMs);
-  const auto changes = worker.Decide();
+// Guards against a target that stays missed beside a run that nothing is known
+// of yet.
+TEST(PacePolicy, SlowsAnUnknownRunBesideAMissedTarget) {
+  const RunKey spare = worker_.AddSpare("a", &disturber_, 100, 10);
+  worker_.SetTail(3 * kTargetMs);
+  const auto changes = Decide(&worker_, model_);
   LONGS_EQUAL(1, changes.size());
   CHECK(changes[0].run == spare);
   CHECK(changes[0].percent < 100);
 }
 
 // Guards against work that stays slow although nothing is missed any more.
-TEST(PacePolicy, SpeedsUpAgainWhileTargetsAreMet) {
-  WorkerWithTarget worker;
-  worker.AddSpare("a", 25, 10);
-  worker.SetTail(kTargetMs / 2);
-  const auto changes = worker.Decide();
+TEST(PacePolicy, SpeedsUpAtOnceWhereNothingIsDisturbed) {
+  WorkerWithTarget::Teach(disturber_, harmless_, &model_);
+  worker_.AddSpare("a", &harmless_, 25, 10);
+  worker_.SetTail(kTargetMs / 2);
+  const auto changes = Decide(&worker_, model_);
   LONGS_EQUAL(1, changes.size());
-  LONGS_EQUAL(50, changes[0].percent);
+  LONGS_EQUAL(100, changes[0].percent);
+}
+
+// Guards against a rise that takes the headroom which the slowdown gave.
+TEST(PacePolicy, DisturberStaysSlowWhileItsNeighbourNeedsTheHeadroom) {
+  WorkerWithTarget::Teach(disturber_, harmless_, &model_);
+  worker_.AddSpare("a", &disturber_, 25, 10);
+  worker_.track().FindRun({{"a", 0, 0, 0}, 1})->pace_changed =
+      WorkerWithTarget::Now() - Milliseconds(1'000);
+  worker_.SetTail(kTargetMs * 2 / 3);
+  LONGS_EQUAL(0, Decide(&worker_, model_).size());
+}
+
+// Guards against harmless runs that are slowed for what another one does.
+TEST(PacePolicy, SlowsOnlyTheKnownDisturber) {
+  WorkerWithTarget::Teach(disturber_, harmless_, &model_);
+  const RunKey active = worker_.AddSpare("a", &disturber_, 100, 10);
+  worker_.AddSpare("b", &harmless_, 100, 10);
+  worker_.SetTail(3 * kTargetMs);
+  const auto changes = Decide(&worker_, model_);
+  LONGS_EQUAL(1, changes.size());
+  CHECK(changes[0].run == active);
+  CHECK(changes[0].move);
+}
+
+// Guards against a target that is missed for seconds because the model expects
+// no disturbance from the runs beside it.
+TEST(PacePolicy, LongMissSlowsEveryRunBesideIt) {
+  WorkerWithTarget::Teach(disturber_, harmless_, &model_);
+  worker_.AddSpare("a", &harmless_, 100, 10);
+  worker_.SetTail(2 * kTargetMs);
+  worker_.SetOverSince(WorkerWithTarget::Now() - Milliseconds(1'000));
+  LONGS_EQUAL(0, Decide(&worker_, model_).size());
+  worker_.SetOverSince(WorkerWithTarget::Now() - Milliseconds(2'000));
+  LONGS_EQUAL(1, Decide(&worker_, model_).size());
 }
 
 // Guards against a paused run that cannot take its work along, asks to move
 // again and again, and so keeps another disturber from being slowed down.
 TEST(PacePolicy, PausedRunThatCannotMoveAsksForNothing) {
-  WorkerWithTarget worker;
-  worker.AddSpare("paused", 0, 80);
-  const RunKey active = worker.AddSpare("active", 100, 10);
-  worker.SetTail(6 * kTargetMs);
-  // The model knows the disturbance, so the paused run is not calm here.
-  for (int i = 0; i < 50; ++i) {
-    worker.model().Observe(worker.worker(),
-                           MonotonicTime(std::chrono::hours(1)));
-  }
-  const auto changes = worker.Decide();
+  WorkerWithTarget::Teach(disturber_, harmless_, &model_);
+  worker_.AddSpare("paused", &disturber_, 0, 80);
+  const RunKey active = worker_.AddSpare("active", &disturber_, 100, 10);
+  worker_.SetTail(6 * kTargetMs);
+  const auto changes = Decide(&worker_, model_);
   LONGS_EQUAL(1, changes.size());
   CHECK(changes[0].run == active);
 }
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -18,26 +18,31 @@
 constexpr double kFailedThereWeight = 8.0;
 // For each failure in a row on the worker.
 constexpr double kFailureWeight = 1.0;
-// Of an expected disturbance that takes a run to its target latency.
-constexpr double kDisturbanceWeight = 1.5;
+// Of headroom that runs with a target lack for comfort.
+constexpr double kHeadroomWeight = 1.0;
+constexpr double kComfortableHeadroom = 2.0;
+// Of the share of spare images that a worker is fit for: it is kept for those
+// that few workers are fit for.
+constexpr double kOpennessWeight = 1.0;
 // Runs with targets keep their kind together, so that there are workers where
 // a disturber of one kind disturbs nobody.
 constexpr double kSameImageWeight = 1.5;
 // What an empty worker counts as: better than a mixture.
 constexpr double kEmptyWorkerShare = 0.6;
-// A run of spare capacity that waited for this long also starts on a worker
-// where a target was missed just now.
-constexpr Milliseconds kAvoidedSpareWait{1'000};
-// A run of spare capacity starts beside a run with a target only below this
-// expected disturbance. The limit rises with each second that it waits, since
-// the expectation may be wrong and the pace protects the target.
-constexpr double kMaximumDisturbance = 0.5;
-constexpr double kMoreDisturbancePerSecond = 0.2;
+// A spare run starts beside a run with a target only when this headroom is left
+// at its full pace. The limit falls with each second that its job gets late, up
+// to some: the pace protects the target then.
+constexpr double kLeastHeadroom = 1.5;
+constexpr double kHeadroomPerSecond = 0.1;
+constexpr double kLongestLate = 3.0;
+// Estimates are rough, so a task counts as late this much earlier.
+constexpr Milliseconds kLateMargin{500};
+constexpr int64_t kPaceStep = 25;
 // Reserved processors that are in use on average; spare capacity is the rest.
-constexpr double kReservedUse = 0.6;
+constexpr double kReservedUse = 0.5;
 // Runs of spare capacity ask for no more than this share of what is left, as
 // beyond it they only slow down each other and everything beside them.
-constexpr double kMaximumSpareShare = 1.0;
+constexpr double kMaximumSpareShare = 1.1;
 
 bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
   return std::find(worker.labels.begin(), worker.labels.end(), label) !=
@@ -81,8 +86,23 @@
   return with_target == 0 ? kEmptyWorkerShare : same / with_target;
 }
 
+double MissingHeadroom(double headroom) {
+  return std::max(0.0, kComfortableHeadroom - headroom);
+}
+
 }  // namespace
 
+int64_t WorkerChoice::FirstPace(const JobStep& step,
+                                const WorkerTrack& worker,
+                                const DisturbanceModel& model) {
+  int64_t percent = 100;
+  while (percent > kPaceStep &&
+         model.LowestHeadroomWith(step, worker, percent) < kLeastHeadroom) {
+    percent -= kPaceStep;
+  }
+  return percent;
+}
+
 bool WorkerChoice::IsUsable(const WorkerTrack& worker,
                             const std::string& pool,
                             const std::set<std::string>& evacuated,
@@ -106,14 +126,17 @@
   double score = kFailureWeight * worker.consecutive_failures;
   if (step.uses_spare_capacity) {
     score += SpareShare(worker, step) +
-             kDisturbanceWeight * model.ToNeighbours(step, worker);
+             kHeadroomWeight *
+                 MissingHeadroom(model.LowestHeadroomWith(step, worker, 100)) +
+             kOpennessWeight * model.Openness(worker);
   } else {
     score +=
         (reserved + static_cast<double>(step.size.processor_millis)) / capacity;
   }
   if (step.target_latency_ms > 0) {
-    score += kDisturbanceWeight * model.FromNeighbours(step, worker) -
-             kSameImageWeight * SameImageShare(worker, step.image);
+    score +=
+        kHeadroomWeight * MissingHeadroom(model.HeadroomBeside(worker, step)) -
+        kSameImageWeight * SameImageShare(worker, step.image);
   }
   const auto region =
       options_.region_of_failure_domain.find(registration.failure_domain);
@@ -138,10 +161,11 @@
                                   const DisturbanceModel& model,
                                   MonotonicTime now) const {
   const JobStep& step = *request.step;
-  const double disturbance_limit =
-      kMaximumDisturbance + kMoreDisturbancePerSecond *
-                                static_cast<double>(request.waited.count()) /
-                                1'000;
+  const double late_s =
+      static_cast<double>((request.late + kLateMargin).count()) / 1'000;
+  const double least_headroom =
+      kLeastHeadroom -
+      kHeadroomPerSecond * std::clamp(late_s, 0.0, kLongestLate);
   WorkerTrack* best = nullptr;
   double best_score = 0;
   for (const auto& [id, worker] : workers) {
@@ -158,12 +182,8 @@
                        request.task.step) >= step.maximum_tasks_per_worker) {
       continue;
     }
-    if (step.uses_spare_capacity && now < worker->avoid_spare_until &&
-        request.waited < kAvoidedSpareWait) {
-      continue;
-    }
     if (step.uses_spare_capacity &&
-        model.HighestWith(step, *worker, 100) > disturbance_limit) {
+        model.LowestHeadroomWith(step, *worker, 100) < least_headroom) {
       continue;
     }
     const double score = Score(request, *worker, model);
--- a/packages/dispatch/worker_choice.h
+++ b/packages/dispatch/worker_choice.h
@@ -21,7 +21,8 @@
   TaskName task;
   std::string avoid_worker;    // Where its last run failed.
   std::string preferred_rack;  // Empty: none.
-  Milliseconds waited{0};      // Since it could have started.
+  // How late it starts for its job's objective; negative while there is time.
+  Milliseconds late{0};
 };
 
 // Chooses workers by capacity, labels, racks and distance.
@@ -41,6 +42,11 @@
                       const DisturbanceModel& model,
                       MonotonicTime now) const;
 
+  // The pace, in percent, that a spare run starts with on the worker.
+  static int64_t FirstPace(const JobStep& step,
+                           const WorkerTrack& worker,
+                           const DisturbanceModel& model);
+
   // The worker takes new runs of this pool.
   static bool IsUsable(const WorkerTrack& worker,
                        const std::string& pool,
--- a/packages/dispatch/worker_track.h
+++ b/packages/dispatch/worker_track.h
@@ -14,6 +14,10 @@
 
 enum class RunPhase { kStarting, kRunning, kStopping };
 
+// A spare run works in phases: busy ones use what it asked for and press on the
+// runs beside it, light ones use clearly less.
+enum class SparePhase { kBusy, kLight };
+
 using RunKey = std::pair<TaskName, uint64_t>;
 
 // A run that is, or may be, on a worker.
@@ -37,6 +41,8 @@
   bool pace_in_flight = false;
   MonotonicTime pace_changed;
   std::optional<int64_t> load;
+  SparePhase spare_phase = SparePhase::kBusy;
+  std::optional<MonotonicTime> over_since;  // Misses its target since then.
 };
 
 // What the leader knows of one life of a worker.
@@ -71,8 +77,8 @@
   int64_t RunsOf(const std::string& job,
                  int64_t occurrence,
                  int64_t step) const;
-  // When a run of spare capacity ended or its pace changed, and when a pace
-  // fell. Figures from before tell nothing about what runs now.
+  // When a spare run started, ended or changed its pace, and when a pace fell.
+  // Figures from before tell nothing about what runs now.
   MonotonicTime spare_changed;
   MonotonicTime pace_lowered;
 
@@ -90,7 +96,6 @@
   bool recording = false;     // Ends wait to become durable.
   // No new runs before this time.
   MonotonicTime avoid_until;
-  MonotonicTime avoid_spare_until;
   int consecutive_failures = 0;
 
  private:
