Dispatch: Count a failed run once after a change of leaders

The earlier leader had recorded a failure that its worker still listed; the next one read it from the state and again from the list, counted four, and waited for the job to fail, while the state had three.

Change: failures are kept by run, as the state keeps them, and count for a gang as a whole.

Ruled out: a full pool (most of it was free) and a worker not heard (all were).

Measured: Dispatcher.NewLeaderCountsAListedFailureOnce fails without the change and passes with it.

--- a/packages/dispatch/dispatcher_answers.cc
+++ b/packages/dispatch/dispatcher_answers.cc
@@ -211,17 +211,19 @@
   }
   if (end.end == RunEnd::kFailed) {
     ++counters_.ends_failed;
-    ++track.failures;
+    std::set<uint64_t>& failed_runs = job->FailuresOf(end.task).failed_runs;
+    failed_runs.insert(end.run);
+    const auto failures = static_cast<int64_t>(failed_runs.size());
     track.avoid_worker = worker->registration().id;
     NoteFailure(worker, "its runs fail", now);
-    if (!step.long_running && track.failures >= job->job().maximum_attempts) {
+    if (!step.long_running && failures >= job->job().maximum_attempts) {
       // The state fails the job once the end is recorded; until then the task
       // must not start, wherever this end came from.
       ready_.erase({job->job().priority, job->objective_unix_ms(), end.task});
       track.phase = TaskPhase::kWaiting;
       return;
     }
-    Requeue(end.task, end.run, now + Backoff(track.failures));
+    Requeue(end.task, end.run, now + Backoff(failures));
     return;
   }
   ++counters_.ends_interrupted;
--- a/packages/dispatch/job_track.cc
+++ b/packages/dispatch/job_track.cc
@@ -50,7 +50,8 @@
   }
   for (const auto& [name, progress] : job_->progress) {
     TaskTrack& track = task(name);
-    track.failures = static_cast<int64_t>(progress.failed_runs.size());
+    track.failed_runs.insert(progress.failed_runs.begin(),
+                             progress.failed_runs.end());
     track.checkpoint = progress.checkpoint;
     started = true;
   }
@@ -78,6 +79,11 @@
   return occurrences_[name.occurrence].steps[name.step].tasks[name.index];
 }
 
+TaskTrack& JobTrack::FailuresOf(TaskName name) {
+  name.index = step(name).gang ? 0 : name.index;
+  return task(name);
+}
+
 std::vector<TaskName> JobTrack::Release(int64_t unix_ms) {
   std::vector<TaskName> ready;
   for (size_t number = 0; number < occurrences_.size(); ++number) {
--- a/packages/dispatch/job_track.h
+++ b/packages/dispatch/job_track.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,9 @@
 struct TaskTrack {
   TaskPhase phase = TaskPhase::kWaiting;
   uint64_t last_run = 0;
-  int64_t failures = 0;
+  // Runs that failed. A worker lists an end until it may forget it, so a new
+  // leader can see one that is recorded already.
+  std::set<uint64_t> failed_runs;
   std::string checkpoint;
   MonotonicTime not_before;  // Of the next start.
   std::string worker;        // While active.
@@ -54,6 +57,9 @@
   OccurrenceTrack& occurrence(int64_t number) { return occurrences_[number]; }
   std::vector<OccurrenceTrack>& occurrences() { return occurrences_; }
 
+  // Where the failures of the task count: one member stands for its gang.
+  TaskTrack& FailuresOf(TaskName task);
+
   // Makes the tasks of every occurrence ready whose time has come; returns
   // them.
   std::vector<TaskName> Release(int64_t unix_ms);
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -95,6 +95,29 @@
   CHECK(pool.Outcome("job") == JobOutcome::kFailed);
 }
 
+// Guards against a task that is given up too early, and then never started
+// again, because a new leader counts a recorded failure twice.
+TEST(Dispatcher, NewLeaderCountsAListedFailureOnce) {
+  FakePool pool({.workers = 1});
+  pool.FailAll(0, true);
+  SubmitJob command;
+  command.id = "job";
+  command.pool = "pool";
+  command.maximum_attempts = 2;
+  command.job = FakePool::Job(1, 1);
+  pool.Apply(command);
+  const auto has_failed = [&] {
+    const auto& progress = pool.state().FindJob("job")->progress;
+    return !progress.empty() &&
+           progress.begin()->second.failed_runs.size() == 1;
+  };
+  CHECK(pool.RunUntil(has_failed, kLongEnough));
+  pool.ChangeLeader();
+  pool.FailAll(0, false);
+  CHECK(Completes(&pool, "job"));
+  CheckNoFault(pool);
+}
+
 // Guards against runs that go on after their job was cancelled.
 TEST(Dispatcher, CancelStopsRunsAndStartsNoMore) {
   FakePool pool({.task_time = Milliseconds(20'000)});
