Dispatch: Keep spare runs away from targets that are missed just now

A lasting task was over its target for 4.5 s: its disturber was moved away and came back to the same worker twice, and further spare runs started there meanwhile. A run that missed its target for long had its neighbours halved first.

WorkerChoice.MissedTargetKeepsSpareRunsAway fails without the change.

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -254,6 +254,9 @@
       worker->pace_lowered = now;
     }
     if (change.move) {
+      if (JobTrack* job = FindJob(change.run.first.job)) {
+        job->task(change.run.first).avoid_worker = worker->registration().id;
+      }
       SendStop(worker, change.run, run, "it disturbs runs with a target", now);
       continue;
     }
--- a/packages/dispatch/pace_policy.cc
+++ b/packages/dispatch/pace_policy.cc
@@ -201,8 +201,9 @@
           model.EffectOf(*disturbed.step, *run.step, run.spare_phase, run.pace,
                          Capacity(worker));
       if (missed_long || effect.deviation >= kSuspectDeviation) {
-        const int64_t percent =
-            run.pace > 2 * kPaceStep ? run.pace / 2 / kPaceStep * kPaceStep : 0;
+        const int64_t percent = missed_long || run.pace <= 2 * kPaceStep
+                                    ? 0
+                                    : run.pace / 2 / kPaceStep * kPaceStep;
         lower(key, run, percent, effect.loss);
       }
     }
--- a/packages/dispatch/tests/worker_choice_test.cc
+++ b/packages/dispatch/tests/worker_choice_test.cc
@@ -52,6 +52,13 @@
   STRCMP_EQUAL("a-sensitive", Choose(harmless_, Milliseconds(-5'000)).c_str());
 }
 
+// Guards against new spare runs beside a run that misses its target just now.
+TEST(WorkerChoice, MissedTargetKeepsSpareRunsAway) {
+  sensitive_.SetTail(2 * WorkerWithTarget::kTargetMs);
+  workers_["a-sensitive"] = std::make_unique<WorkerTrack>(sensitive_.track());
+  STRCMP_EQUAL("b-robust", Choose(harmless_, Milliseconds(5'000)).c_str());
+}
+
 // Guards against a disturber that starts at full pace beside its victims.
 TEST(WorkerChoice, FirstPaceLeavesHeadroom) {
   CHECK(WorkerChoice::FirstPace(disturber_, sensitive_.track(), model_) < 100);
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -183,7 +183,8 @@
       continue;
     }
     if (step.uses_spare_capacity &&
-        model.LowestHeadroomWith(step, *worker, 100) < least_headroom) {
+        (HasRunOverTarget(*worker) ||
+         model.LowestHeadroomWith(step, *worker, 100) < least_headroom)) {
       continue;
     }
     const double score = Score(request, *worker, model);
