Consensus: Keep as many voters as the tolerated losses need, and a reserve

Cause: on deployments with six control instances every learner became a voter, and a silent voter was removed until only the three that formed the cluster were left. Two lost disks among three voters lose acknowledged entries, and six voters have no quorum when they are split in halves.

Change: the setting tolerated_losses (from the platform's fault tolerance) keeps 2 x losses + 1 voters. Further instances with a disk stay learners, and take the place of a voter that falls silent.

Ruled out: six voters; they need four for a commit and bear no more losses than five.

On three instances nothing changes.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -103,6 +103,8 @@
     for (const std::string& ip : settings_.control_instances) {
       options.initial_voters.push_back(ControlInstanceName(ip));
     }
+    options.target_voters =
+        static_cast<size_t>(2 * settings_.tolerated_losses + 1);
     options.peers = options.initial_voters;
     options.seed = Hash64(NewUniqueId(), 0);
     options.propose_timeout = kProposeTimeout;
--- a/packages/bramleyraild/role_settings.cc
+++ b/packages/bramleyraild/role_settings.cc
@@ -15,6 +15,8 @@
 using Presence = JsonReader::Presence;
 
 constexpr JsonReader::IntegerRange kPortRange{.minimum = 1, .maximum = 65535};
+// More losses than this need more voters than a commit should wait for.
+constexpr JsonReader::IntegerRange kToleratedRange{.minimum = 0, .maximum = 4};
 constexpr JsonReader::IntegerRange kDurationRange{.minimum = 1,
                                                   .maximum = 3'600'000};
 
@@ -158,6 +160,9 @@
       ReadDuration(&reader, "stop_deadline_ms", settings.stop_deadline);
   settings.job_retention =
       ReadDuration(&reader, "job_retention_ms", settings.job_retention);
+  settings.tolerated_losses =
+      reader.Integer("tolerated_losses", Presence::kOptional, kToleratedRange)
+          .value_or(settings.tolerated_losses);
   settings.log.stream = LogStream::kStandardOutput;
   reader.RefuseUnknownFields();
   if (!faults.empty()) {
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -62,8 +62,8 @@
     MonotonicTime now;
     // Configuration before the first entry; empty for a replica that joins.
     Configuration initial_configuration;
-    // With more voters than this, a silent one is removed: another instance has
-    // taken its place. 0: no limit.
+    // Learners become voters up to this number, and then in the place of a voter
+    // that falls silent. 0: no limit.
     size_t target_voters = 0;
     // What storage recovered.
     HardState hard_state;
--- a/packages/consensus/replica_core_membership.cc
+++ b/packages/consensus/replica_core_membership.cc
@@ -194,7 +194,12 @@
     if (now_ - contact >= kLearnerExpiry) {
       return MembershipChange{Change::kRemove, learner};
     }
-    if (IsActive(learner) &&
+    // Beyond the target, a learner waits until a voter falls silent: each voter
+    // more raises the quorum.
+    const bool wanted = target_voters_ == 0 ||
+                        current.voters.size() < target_voters_ ||
+                        LongestSilentVoter() != nullptr;
+    if (wanted && IsActive(learner) &&
         progress->match + kCaughtUpEntries >= log_.last_index()) {
       return MembershipChange{Change::kPromoteLearner, learner};
     }
--- a/packages/replication/fakes/cluster_simulation.cc
+++ b/packages/replication/fakes/cluster_simulation.cc
@@ -63,6 +63,7 @@
   options.instance_name = name;
   options.disk = instance->disk;
   options.initial_voters = options_.voters;
+  options.target_voters = options_.target_voters;
   options.peers = names_;
   options.seed = random_();
   options.snapshot_entries = options_.snapshot_entries;
--- a/packages/replication/fakes/cluster_simulation.h
+++ b/packages/replication/fakes/cluster_simulation.h
@@ -28,6 +28,7 @@
     std::vector<std::string> observers;
     // Instances with a disk that are down until Restart() starts them.
     std::vector<std::string> spares;
+    size_t target_voters = 0;
     uint64_t seed = 0;
     double drop_probability = 0;
     Milliseconds maximum_delay{20};
--- a/packages/replication/replica_driver.cc
+++ b/packages/replication/replica_driver.cc
@@ -109,7 +109,8 @@
 
 void ReplicaDriver::CreateCore(ReplicaCore::Options options) {
   options.peers = options_.peers;
-  options.target_voters = options_.initial_voters.size();
+  options.target_voters =
+      std::max(options_.target_voters, options_.initial_voters.size());
   options.retained_entries = options_.retained_entries;
   options.seed = Hash64(options_.instance_name, options_.seed);
   options.now = now_;
--- a/packages/replication/replica_options.h
+++ b/packages/replication/replica_options.h
@@ -25,6 +25,8 @@
   std::shared_ptr<Disk> disk;
   // Instances that form a new cluster together.
   std::vector<std::string> initial_voters;
+  // Voters to keep, at least as many as the initial ones.
+  size_t target_voters = 0;
   // Names of all instances, which may include the own one.
   std::vector<std::string> peers;
   uint64_t seed = 0;
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -272,6 +272,43 @@
   }
 }
 
+// Guards against a cluster that stays at the few voters which formed it, so
+// that the loss of two of them stops it, and against an even number of voters,
+// whose halves both lack a quorum.
+TEST(Simulation, LargerClusterBearsTwoLossesAndKeepsAReserve) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation({.voters = ThreeVoters(),
+                                  .spares = {"d", "e", "f"},
+                                  .target_voters = 5,
+                                  .seed = seed});
+    for (const char* spare : {"d", "e", "f"}) {
+      simulation.Restart(spare);
+    }
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(5'000));
+    const Configuration& formed =
+        simulation.At(simulation.Leader()).core()->configuration();
+    LONGS_EQUAL(5, formed.voters.size());
+    LONGS_EQUAL(1, formed.learners.size());
+    const std::string reserve = formed.learners.front().name;
+    // The leader and another voter lose their disks at the same moment.
+    const std::string first = simulation.Leader();
+    const std::string second = formed.voters.front().name == first
+                                   ? formed.voters.back().name
+                                   : formed.voters.front().name;
+    simulation.LoseDisk(first);
+    simulation.LoseDisk(second);
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(8'000));
+    const Configuration& repaired =
+        simulation.At(simulation.Leader()).core()->configuration();
+    LONGS_EQUAL(5, repaired.voters.size());
+    CHECK(std::any_of(repaired.voters.begin(), repaired.voters.end(),
+                      [&](const ReplicaId& id) { return id.name == reserve; }));
+    CheckSafe(simulation);
+  }
+}
+
 // Guards against a snapshot that does not fit into one message, and against
 // chunks that get lost.
 TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
