Dispatch: Let tasks without a fitting worker hold up no others

Cause: a step looked at the first 400 ready tasks only, also at those of steps that had just found no worker, so enough of them kept all later tasks waiting.

Change: only searches for a worker count towards the limit.

Measured: Dispatcher.TasksThatFindNoWorkerHoldUpNoOthers fails without the change and passes with it.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -14,7 +14,8 @@
 // Runs of one leadership are numbered above those of all earlier ones, without
 // a durable write for each. A task is never started this often in one.
 constexpr uint64_t kRunsPerLeadership = 10'000;
-// Ready tasks that one step looks at; bounds the time of a step.
+// Searches for a worker in one step; bounds its time. Tasks of steps that are
+// known to find none do not count, or they would hold up those behind them.
 constexpr size_t kPlacementsPerStep = 400;
 // Added to the longest lease for clocks that are 2% slow and for a worker that
 // was paused.
@@ -204,14 +205,11 @@
   const bool knows_all = KnowsAllWorkers(now);
   // A step without room for one task has none for its next ones either.
   std::set<std::tuple<std::string, int64_t, int64_t>> full;
-  std::vector<TaskName> candidates;
-  for (const ReadyKey& key : ready_) {
-    candidates.push_back(std::get<2>(key));
-    if (candidates.size() == kPlacementsPerStep) {
-      break;
-    }
-  }
-  for (const TaskName& task : candidates) {
+  size_t attempts = 0;
+  // Placing a task removes its key, so the loop follows a copy.
+  const std::vector<ReadyKey> candidates(ready_.begin(), ready_.end());
+  for (const ReadyKey& key : candidates) {
+    const TaskName& task = std::get<2>(key);
     JobTrack* job = FindJob(task.job);
     const TaskTrack& track = job->task(task);
     const std::tuple step(task.job, task.occurrence, task.step);
@@ -222,6 +220,9 @@
         full.contains(step)) {
       continue;
     }
+    if (++attempts > kPlacementsPerStep) {
+      break;
+    }
     const bool placed = job->step(task).gang ? PlaceGang(state, job, task, now)
                                              : Place(state, job, task, now);
     if (!placed) {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -118,6 +118,18 @@
   CheckNoFault(pool);
 }
 
+// Guards against many tasks without a fitting worker that hold up those behind
+// them.
+TEST(Dispatcher, TasksThatFindNoWorkerHoldUpNoOthers) {
+  FakePool pool({});
+  JobSpecification impossible = FakePool::Job(500, 1);
+  impossible.steps[0].required_label = "nowhere";
+  pool.Submit("impossible", impossible);
+  pool.RunFor(Milliseconds(100));
+  pool.Submit("job", FakePool::Job(4, 1));
+  CHECK(Completes(&pool, "job"));
+}
+
 // Guards against runs that go on after their job was cancelled.
 TEST(Dispatcher, CancelStopsRunsAndStartsNoMore) {
   FakePool pool({.task_time = Milliseconds(20'000)});
