Dispatch: Keep what a worker offers to spare runs until it changes

Each search for a worker walked all runs of all workers and looked up images by name, and steps without a fitting worker were searched for again with every answer.

Change: DisturbanceModel computes an outlook per worker (headroom of each image with a target, openness, missed targets), which is kept until its runs or figures change; a step that found no worker waits 75 ms.

Ruled out: the network and the disk (the small twin has the same machines).

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -17,6 +17,8 @@
 // Searches for a worker in one step; bounds its time. Tasks of steps that are
 // known to find none do not count, or they would hold up those behind them.
 constexpr size_t kPlacementsPerStep = 400;
+// A step whose task found no worker is looked at again after this.
+constexpr Milliseconds kPlacementRetry{75};
 // Added to the longest lease for clocks that are 2% slow and for a worker that
 // was paused.
 constexpr Milliseconds kTakeoverMargin{600};
@@ -78,6 +80,8 @@
     if (track == nullptr) {
       track = std::make_unique<WorkerTrack>(registration);
       track->last_answer = now;
+      track->in_other_region =
+          choice_.IsInOtherRegion(registration.failure_domain);
       // Nothing of an earlier leader can be on a worker that is new.
       track->heard = synchronized_;
     } else {
@@ -203,21 +207,21 @@
 
 void Dispatcher::PlaceReadyTasks(const QueueState& state, MonotonicTime now) {
   const bool knows_all = KnowsAllWorkers(now);
-  // A step without room for one task has none for its next ones either.
-  std::set<std::tuple<std::string, int64_t, int64_t>> full;
   size_t attempts = 0;
   // Placing a task removes its key, so the loop follows a copy.
   const std::vector<ReadyKey> candidates(ready_.begin(), ready_.end());
   for (const ReadyKey& key : candidates) {
     const TaskName& task = std::get<2>(key);
     JobTrack* job = FindJob(task.job);
-    const TaskTrack& track = job->task(task);
-    const std::tuple step(task.job, task.occurrence, task.step);
+    StepTrack& step_track = job->occurrence(task.occurrence).steps[task.step];
+    if (now < step_track.next_search) {
+      continue;
+    }
+    const TaskTrack& track = step_track.tasks[task.index];
     // A worker that was not heard may run any task of an earlier leadership.
     const bool blocked =
         !knows_all && job->origin() == JobTrack::Origin::kEarlierLeadership;
-    if (blocked || track.phase != TaskPhase::kReady || now < track.not_before ||
-        full.contains(step)) {
+    if (blocked || track.phase != TaskPhase::kReady || now < track.not_before) {
       continue;
     }
     if (++attempts > kPlacementsPerStep) {
@@ -226,7 +230,7 @@
     const bool placed = job->step(task).gang ? PlaceGang(state, job, task, now)
                                              : Place(state, job, task, now);
     if (!placed) {
-      full.insert(step);
+      step_track.next_search = now + kPlacementRetry;
     }
   }
 }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -234,6 +234,7 @@
   worker->heard = true;
   disturbance_.Observe(*worker, now);
   ProtectTargets(worker, now);
+  worker->outlook.reset();
 }
 
 void Dispatcher::SendPace(WorkerTrack* worker,
--- a/packages/dispatch/disturbance_model.cc
+++ b/packages/dispatch/disturbance_model.cc
@@ -63,6 +63,11 @@
       [](const auto& item) { return IsOverTarget(item.second); });
 }
 
+double SpareShareOf(const JobStep& spare, const WorkerTrack& worker) {
+  return ShareOf(spare.size.processor_millis,
+                 worker.registration().capacity.processor_millis);
+}
+
 size_t DisturbanceModel::SourceOf(const std::string& image,
                                   SparePhase phase) const {
   const auto found = spare_images_.find(image);
@@ -73,8 +78,9 @@
 
 const HeadroomRegression* DisturbanceModel::FindRegression(
     const std::string& image) const {
-  const auto found = regressions_.find(image);
-  return found == regressions_.end() ? nullptr : &found->second;
+  const auto found = images_with_target_.find(image);
+  return found == images_with_target_.end() ? nullptr
+                                            : &regressions_[found->second];
 }
 
 void DisturbanceModel::Observe(const WorkerTrack& worker, MonotonicTime now) {
@@ -105,7 +111,13 @@
     }
   }
   for (const auto& [image, sum] : headrooms) {
-    regressions_[image].Observe(pressures, sum.first / sum.second, sum.second);
+    const auto [position, added] =
+        images_with_target_.try_emplace(image, regressions_.size());
+    if (added) {
+      regressions_.emplace_back();
+    }
+    regressions_[position->second].Observe(pressures, sum.first / sum.second,
+                                           sum.second);
   }
 }
 
@@ -116,9 +128,10 @@
     int64_t percent,
     int64_t capacity_millis) const {
   const HeadroomRegression* regression = FindRegression(disturbed.image);
+  const size_t source = SourceOf(spare.image, phase);
   const HeadroomRegression::Loss loss =
-      (regression == nullptr ? HeadroomRegression() : *regression)
-          .LossOf(SourceOf(spare.image, phase));
+      regression == nullptr ? HeadroomRegression().LossOf(source)
+                            : regression->LossOf(source);
   const double share =
       ShareOf(spare.size.processor_millis * percent / 100, capacity_millis);
   return {share * SureLoss(loss), share * loss.deviation};
@@ -140,55 +153,62 @@
   return loss;
 }
 
-double DisturbanceModel::LowestHeadroomWith(const JobStep& spare,
-                                            const WorkerTrack& worker,
-                                            int64_t percent) const {
-  const int64_t capacity = worker.registration().capacity.processor_millis;
-  double lowest = std::numeric_limits<double>::infinity();
+SpareOutlook DisturbanceModel::OutlookOf(const WorkerTrack& worker) const {
+  SpareOutlook outlook;
   std::vector<std::string_view> seen;
   for (const auto& [key, run] : worker.runs()) {
+    outlook.misses_target = outlook.misses_target || IsOverTarget(run);
     if (!HasTarget(run) ||
         std::find(seen.begin(), seen.end(), run.step->image) != seen.end()) {
       continue;
     }
     seen.push_back(run.step->image);
-    const HeadroomRegression* regression = FindRegression(run.step->image);
-    if (regression == nullptr) {
-      continue;
-    }
-    const double own =
-        EffectOf(*run.step, spare, SparePhase::kBusy, percent, capacity).loss;
-    if (own > 0) {
-      lowest = std::min(lowest, regression->LowCalmHeadroom() - own -
-                                    LossFromSpare(*regression, worker));
+    const auto found = images_with_target_.find(run.step->image);
+    if (found != images_with_target_.end()) {
+      const HeadroomRegression& regression = regressions_[found->second];
+      outlook.served.push_back(
+          {found->second,
+           regression.LowCalmHeadroom() - LossFromSpare(regression, worker)});
     }
   }
-  return lowest;
+  size_t open = 0;
+  for (const auto& [image, number] : spare_images_) {
+    const size_t source = SourceOf(image, SparePhase::kBusy);
+    const auto is_disturbed = [&](const SpareOutlook::Served& served) {
+      return SureLoss(regressions_[served.regression].LossOf(source)) > 0;
+    };
+    open +=
+        std::none_of(outlook.served.begin(), outlook.served.end(), is_disturbed)
+            ? 1
+            : 0;
+  }
+  if (!spare_images_.empty()) {
+    outlook.openness =
+        static_cast<double>(open) / static_cast<double>(spare_images_.size());
+  }
+  return outlook;
 }
 
-double DisturbanceModel::Openness(const WorkerTrack& worker) const {
-  std::vector<const HeadroomRegression*> beside;
-  for (const auto& [key, run] : worker.runs()) {
-    const HeadroomRegression* regression =
-        HasTarget(run) ? FindRegression(run.step->image) : nullptr;
-    if (regression != nullptr &&
-        std::find(beside.begin(), beside.end(), regression) == beside.end()) {
-      beside.push_back(regression);
+double DisturbanceModel::LowestHeadroomWith(size_t source,
+                                            const SpareOutlook& outlook,
+                                            double share) const {
+  double lowest = std::numeric_limits<double>::infinity();
+  for (const SpareOutlook::Served& served : outlook.served) {
+    const double loss =
+        share * SureLoss(regressions_[served.regression].LossOf(source));
+    if (loss > 0) {
+      lowest = std::min(lowest, served.headroom - loss);
     }
   }
-  double open = 0;
-  for (const auto& [image, number] : spare_images_) {
-    const size_t source = SourceOf(image, SparePhase::kBusy);
-    open += std::any_of(beside.begin(), beside.end(),
-                        [source](const HeadroomRegression* regression) {
-                          return SureLoss(regression->LossOf(source)) > 0;
-                        })
-                ? 0
-                : 1;
-  }
-  return spare_images_.empty()
-             ? 1
-             : open / static_cast<double>(spare_images_.size());
+  return lowest;
+}
+
+double DisturbanceModel::LowestHeadroomWith(const JobStep& spare,
+                                            const WorkerTrack& worker,
+                                            int64_t percent) const {
+  return LowestHeadroomWith(
+      BusySourceOf(spare.image), OutlookOf(worker),
+      SpareShareOf(spare, worker) * static_cast<double>(percent) / 100);
 }
 
 double DisturbanceModel::HeadroomBeside(const WorkerTrack& worker,
--- a/packages/dispatch/disturbance_model.h
+++ b/packages/dispatch/disturbance_model.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "packages/dispatch/headroom_regression.h"
 #include "packages/dispatch/worker_track.h"
@@ -38,22 +40,32 @@
   double LowestHeadroomWith(const JobStep& spare,
                             const WorkerTrack& worker,
                             int64_t percent) const;
-  // Share of the known images of spare runs that disturb no run with a target
-  // on the worker.
-  double Openness(const WorkerTrack& worker) const;
+  // The same for a known outlook; `share` of the worker's processors.
+  double LowestHeadroomWith(size_t source,
+                            const SpareOutlook& outlook,
+                            double share) const;
+  SpareOutlook OutlookOf(const WorkerTrack& worker) const;
+  // Number of the image's busy phase for the function above.
+  size_t BusySourceOf(const std::string& image) const {
+    return SourceOf(image, SparePhase::kBusy);
+  }
   // Headroom that the spare runs on the worker leave one more run of the step.
   double HeadroomBeside(const WorkerTrack& worker, const JobStep& step) const;
 
  private:
   size_t SourceOf(const std::string& image, SparePhase phase) const;
   const HeadroomRegression* FindRegression(const std::string& image) const;
+  // Expected while all spare runs there are busy.
   double LossFromSpare(const HeadroomRegression& regression,
                        const WorkerTrack& worker) const;
 
   std::map<std::string, size_t> spare_images_;  // Numbered as they appear.
-  std::map<std::string, HeadroomRegression> regressions_;
+  std::map<std::string, size_t> images_with_target_;
+  std::vector<HeadroomRegression> regressions_;  // By number of the image.
 };
 
+// Share of the processors that a spare run of the step asks for.
+double SpareShareOf(const JobStep& spare, const WorkerTrack& worker);
 // Target over tail latency, or nullopt without figures.
 std::optional<double> HeadroomOf(const TrackedRun& run);
 // The run misses its target, or almost.
--- a/packages/dispatch/job_track.h
+++ b/packages/dispatch/job_track.h
@@ -28,6 +28,7 @@
 
 struct StepTrack {
   std::vector<TaskTrack> tasks;
+  MonotonicTime next_search;  // Of a worker, after one in vain.
   int64_t undone = 0;
   int64_t waiting_for = 0;  // Predecessors that are not done.
 };
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -103,6 +103,12 @@
   return percent;
 }
 
+bool WorkerChoice::IsInOtherRegion(const std::string& failure_domain) const {
+  const auto region = options_.region_of_failure_domain.find(failure_domain);
+  return region != options_.region_of_failure_domain.end() &&
+         region->second != options_.own_region;
+}
+
 bool WorkerChoice::IsUsable(const WorkerTrack& worker,
                             const std::string& pool,
                             const std::set<std::string>& evacuated,
@@ -124,12 +130,7 @@
       std::max<int64_t>(registration.capacity.processor_millis, 1));
   const auto reserved = static_cast<double>(worker.reserved().processor_millis);
   double score = kFailureWeight * worker.consecutive_failures;
-  if (step.uses_spare_capacity) {
-    score += SpareShare(worker, step) +
-             kHeadroomWeight *
-                 MissingHeadroom(model.LowestHeadroomWith(step, worker, 100)) +
-             kOpennessWeight * model.Openness(worker);
-  } else {
+  if (!step.uses_spare_capacity) {
     score +=
         (reserved + static_cast<double>(step.size.processor_millis)) / capacity;
   }
@@ -138,10 +139,7 @@
         kHeadroomWeight * MissingHeadroom(model.HeadroomBeside(worker, step)) -
         kSameImageWeight * SameImageShare(worker, step.image);
   }
-  const auto region =
-      options_.region_of_failure_domain.find(registration.failure_domain);
-  if (region != options_.region_of_failure_domain.end() &&
-      region->second != options_.own_region) {
+  if (worker.in_other_region) {
     score += kOtherRegionWeight;
   }
   if (!request.preferred_rack.empty() &&
@@ -166,6 +164,7 @@
   const double least_headroom =
       kLeastHeadroom -
       kHeadroomPerSecond * std::clamp(late_s, 0.0, kLongestLate);
+  const size_t source = model.BusySourceOf(step.image);
   WorkerTrack* best = nullptr;
   double best_score = 0;
   for (const auto& [id, worker] : workers) {
@@ -182,12 +181,21 @@
                        request.task.step) >= step.maximum_tasks_per_worker) {
       continue;
     }
-    if (step.uses_spare_capacity &&
-        (HasRunOverTarget(*worker) ||
-         model.LowestHeadroomWith(step, *worker, 100) < least_headroom)) {
-      continue;
+    double score = 0;
+    if (step.uses_spare_capacity) {
+      if (!worker->outlook) {
+        worker->outlook = model.OutlookOf(*worker);
+      }
+      const double headroom = model.LowestHeadroomWith(
+          source, *worker->outlook, SpareShareOf(step, *worker));
+      if (worker->outlook->misses_target || headroom < least_headroom) {
+        continue;
+      }
+      score += SpareShare(*worker, step) +
+               kHeadroomWeight * MissingHeadroom(headroom) +
+               kOpennessWeight * worker->outlook->openness;
     }
-    const double score = Score(request, *worker, model);
+    score += Score(request, *worker, model);
     if (best == nullptr || score < best_score) {
       best = worker.get();
       best_score = score;
--- a/packages/dispatch/worker_choice.h
+++ b/packages/dispatch/worker_choice.h
@@ -47,6 +47,8 @@
                            const WorkerTrack& worker,
                            const DisturbanceModel& model);
 
+  bool IsInOtherRegion(const std::string& failure_domain) const;
+
   // The worker takes new runs of this pool.
   static bool IsUsable(const WorkerTrack& worker,
                        const std::string& pool,
--- a/packages/dispatch/worker_track.cc
+++ b/packages/dispatch/worker_track.cc
@@ -70,6 +70,7 @@
 
 TrackedRun& WorkerTrack::AddRun(const RunKey& key, TrackedRun run) {
   const auto [position, inserted] = runs_.emplace(key, std::move(run));
+  outlook.reset();
   if (inserted) {
     Recount(position->second, 1);
   }
@@ -81,6 +82,7 @@
   if (found != runs_.end()) {
     Recount(found->second, -1);
     runs_.erase(found);
+    outlook.reset();
   }
 }
 
--- a/packages/dispatch/worker_track.h
+++ b/packages/dispatch/worker_track.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "packages/dispatch/spare_outlook.h"
 #include "packages/dispatch/worker_order.h"
 
 namespace bramleyrail {
@@ -77,11 +78,15 @@
   int64_t RunsOf(const std::string& job,
                  int64_t occurrence,
                  int64_t step) const;
+  // Empty after a change of the runs or their figures.
+  std::optional<SpareOutlook> outlook;
   // When a spare run started, ended or changed its pace, and when a pace fell.
   // Figures from before tell nothing about what runs now.
   MonotonicTime spare_changed;
   MonotonicTime pace_lowered;
 
+  bool in_other_region = false;  // Than the leader.
+
   // Contact ------------------------------------------------------------------
   bool heard = false;  // Its lists arrived in this leadership.
   bool look_in_flight = false;
