Dispatch: Ask the list when a repeated start finds its run ended

A start got no answer in time, ran and ended as done; the repeated order was refused as old, and the leader took that for a start that never happened and put the task back. The end was in the list, which was not read yet, since looks wait while ends of the worker are being recorded.

Change: after that refusal the run counts as there until a look does not list it; an end in the list counts as usual.

Ruled out: a lease that ended too early (the worker was in contact throughout).

Measured: Dispatcher.RepeatedStartOfAnEndedRunWaitsForTheList fails without the change and passes with it.

--- a/packages/dispatch/dispatcher_answers.cc
+++ b/packages/dispatch/dispatcher_answers.cc
@@ -80,7 +80,15 @@
   if (outcome == OrderOutcome::kUnknown) {
     return;  // RepeatOrders() sends it again.
   }
-  if (run->orders_sent > 1 && outcome != OrderOutcome::kRunTooOld) {
+  if (outcome == OrderOutcome::kRunTooOld) {
+    // An earlier order of this run was executed, and the run has ended; the
+    // worker's list tells how. Until then the task must not start again.
+    run->phase = RunPhase::kStopping;
+    run->confirmed = now;
+    worker->next_look = now;
+    return;
+  }
+  if (run->orders_sent > 1) {
     // An earlier order of this run may still be executed.
     SendStop(worker, key, run, "an earlier start may still arrive", now);
     return;
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -118,6 +118,50 @@
   CheckNoFault(pool);
 }
 
+// Guards against a second run of a task whose first start got no answer: by the
+// time of the repeated order it has ended as done.
+TEST(Dispatcher, RepeatedStartOfAnEndedRunWaitsForTheList) {
+  FakePool pool({.workers = 1});
+  pool.Submit("job", FakePool::Job(1, 1));
+  const MonotonicTime begun = pool.now();
+  Dispatcher dispatcher({}, 2, begun);
+  dispatcher.Synchronize(pool.state(), begun);
+  const WorkerAddress worker{
+      "w0", pool.state().workers().at("w0").started_unix_ms, "10.0.0.1:80"};
+  const TaskName task{"job", 0, 0, 0};
+  uint64_t run = 0;
+  MonotonicTime now = begun;
+  const auto count_starts = [&] {
+    int starts = 0;
+    for (const WorkerOrder& order : dispatcher.Step(pool.state(), now, 1)) {
+      if (const auto* start = std::get_if<StartOrder>(&order.body)) {
+        ++starts;
+        run = start->run;
+      }
+    }
+    return starts;
+  };
+  (void)count_starts();
+  dispatcher.HandleLookAnswer(worker, OrderOutcome::kAccepted, {.clock_ms = 1},
+                              now, now);
+  LONGS_EQUAL(1, count_starts());
+  const uint64_t first_run = run;
+  dispatcher.HandleStartAnswer(worker, task, run, OrderOutcome::kUnknown, now);
+  now += Milliseconds(200);
+  LONGS_EQUAL(1, count_starts());
+  dispatcher.HandleStartAnswer(worker, task, run, OrderOutcome::kRunTooOld,
+                               now);
+  for (int i = 0; i < 20; ++i) {
+    now += Milliseconds(100);
+    LONGS_EQUAL(0, count_starts());
+  }
+  LookAnswer look{.clock_ms = 2'000};
+  look.ended.push_back({1, {task, first_run, RunEnd::kDone, ""}, "done"});
+  dispatcher.HandleLookAnswer(worker, OrderOutcome::kAccepted, look, now, now);
+  LONGS_EQUAL(0, count_starts());
+  LONGS_EQUAL(1, dispatcher.TakeEnds().ends.size());
+}
+
 // Guards against many tasks without a fitting worker that hold up those behind
 // them.
 TEST(Dispatcher, TasksThatFindNoWorkerHoldUpNoOthers) {
