Control: Try a refused request again, and keep an unknown outcome unknown

The relay passed on a leader's "not executed" (503) also after an earlier attempt of the same exchange without an answer.

Change: answers 503 and 504 of a leader are tried again until the limit; the outcome is "not executed" only when no attempt could have been executed; no attempt starts with less than 100 ms left.

Ruled out: proposals that report "certainly not made" too early (they do so only when the index was committed with another leader's entry).

--- a/packages/control/leader_relay.cc
+++ b/packages/control/leader_relay.cc
@@ -13,11 +13,20 @@
 // One attempt. It covers a commit of a leader in another region, and leaves
 // time for another attempt within the time that callers wait.
 constexpr Milliseconds kAttemptTimeout{900};
+// An attempt with less time than a round trip between regions and a commit
+// would only make the outcome unknown.
+constexpr Milliseconds kLeastAttempt{100};
+// Pause before the leader is asked again that did not carry out a request.
+constexpr Milliseconds kRefusedPause{50};
 // Pause after every known instance was asked in vain.
 constexpr Milliseconds kRoundPause{50};
 // Seconds after which a caller may come back, about the time of an election.
 constexpr int64_t kRetryAfterSeconds = 1;
 
+// HTTP status codes.
+constexpr int kNotExecuted = 503;
+constexpr int kOutcomeUnknown = 504;
+
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -75,7 +84,7 @@
 
 void LeaderRelay::Try(std::shared_ptr<Exchange> exchange) {
   const MonotonicTime now = Now();
-  if (now >= exchange->deadline) {
+  if (now + kLeastAttempt > exchange->deadline) {
     GiveUp(exchange);
     return;
   }
@@ -144,6 +153,16 @@
     }
     return;
   }
+  if (relayed.status == kNotExecuted || relayed.status == kOutcomeUnknown) {
+    // An earlier attempt may have been executed, whatever this one says of
+    // itself, and the next leader may carry it out.
+    exchange->last_error = absl::StrCat(peer, ": ", relayed.body);
+    exchange->maybe_executed =
+        exchange->maybe_executed || relayed.status == kOutcomeUnknown;
+    exchange->asked.clear();
+    TryAgain(exchange, kRefusedPause);
+    return;
+  }
   leader_ = peer;
   ++counters_.answered;
   exchange->respond(FromRelayed(std::move(relayed)));
@@ -164,10 +183,10 @@
        {"last_error", exchange->last_error}});
   HttpResponse response;
   if (unknown) {
-    response.status = 504;
+    response.status = kOutcomeUnknown;
     response.body = R"({"error":"the outcome is not known; ask again"})";
   } else {
-    response.status = 503;
+    response.status = kNotExecuted;
     response.body = R"({"error":"no leader; the request was not executed"})";
     response.headers.emplace_back("Retry-After",
                                   absl::StrCat(kRetryAfterSeconds));
