Consensus: Let a replaced voter that was away join again

Cause: an instance that was replaced while it was down still counts itself as a voter by its own log. Nobody answers its pre-votes, and it sent no request to join, so it never followed again and the deployment bore one loss less.

Change: a replica without a leader for an election timeout also asks to join; a leader ignores the request of a member.

Measured: Simulation.ReplacedVoterComesBackAsALearner fails without the change and passes with it (20 seeds).

--- a/packages/consensus/replica_core_membership.cc
+++ b/packages/consensus/replica_core_membership.cc
@@ -77,7 +77,12 @@
 }
 
 void ReplicaCore::SendJoinRequests() {
-  if (kind_ == Kind::kReplica && configuration().Contains(id_)) {
+  // A replica that was away may have been replaced without knowing: nobody
+  // answers its pre-votes then. A leader ignores the request of a member.
+  const bool is_led = role_ == ReplicaRole::kLeader ||
+                      now_ - leader_contact_ < kMaximumElectionTimeout;
+  if (kind_ == Kind::kReplica && configuration().Contains(id_) &&
+      (is_led || term() == 0)) {
     return;
   }
   const bool followed =
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -309,6 +309,33 @@
   }
 }
 
+// Guards against an instance that was replaced while it was away, still counts
+// itself as a voter, and so never follows the log again.
+TEST(Simulation, ReplacedVoterComesBackAsALearner) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation(
+        {.voters = ThreeVoters(), .spares = {"d"}, .seed = seed});
+    simulation.Restart("d");
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(3'000));
+    std::string away = ThreeVoters()[seed % 3];
+    simulation.Crash(away, 0, false);
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(6'000));
+    simulation.Restart(away);
+    simulation.RunFor(Milliseconds(6'000));
+    const Configuration& configuration =
+        simulation.At(simulation.Leader()).core()->configuration();
+    LONGS_EQUAL(3, configuration.voters.size());
+    CHECK_TRUE_TEXT(
+        std::any_of(configuration.learners.begin(),
+                    configuration.learners.end(),
+                    [&](const ReplicaId& id) { return id.name == away; }),
+        simulation.Describe().c_str());
+    CheckSafe(simulation);
+  }
+}
+
 // Guards against a snapshot that does not fit into one message, and against
 // chunks that get lost.
 TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
