--- a/packages/dispatch/tests/worker_choice_test.cc
+++ b/packages/dispatch/tests/worker_choice_test.cc
@@ -59,6 +59,28 @@
   STRCMP_EQUAL("b-robust", Choose(harmless_, Milliseconds(5'000)).c_str());
 }
 
+// Guards against long-running tasks that leave no worker with room for a large
+// task.
+TEST(WorkerChoice, LongRunningTasksArePackedAndOthersSpread) {
+  workers_.clear();
+  JobStep step;
+  step.size = {2'000, 1'000, 0};
+  for (const char* id : {"a-empty", "b-used"}) {
+    workers_.emplace(
+        id, std::make_unique<WorkerTrack>(WorkerRegistration{
+                .id = id, .pool = "pool", .capacity = {16'000, 64'000, 0}}));
+    workers_[id]->heard = true;
+    workers_[id]->last_answer = WorkerWithTarget::Now();
+  }
+  TrackedRun run;
+  run.step = &step;
+  run.reserved = step.size;
+  workers_["b-used"]->AddRun({{"other", 0, 0, 0}, 1}, run);
+  STRCMP_EQUAL("a-empty", Choose(step, Milliseconds(0)).c_str());
+  step.long_running = true;
+  STRCMP_EQUAL("b-used", Choose(step, Milliseconds(0)).c_str());
+}
+
 // Guards against a disturber that starts at full pace beside its victims.
 TEST(WorkerChoice, FirstPaceLeavesHeadroom) {
   CHECK(WorkerChoice::FirstPace(disturber_, sensitive_.track(), model_) < 100);
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -131,8 +131,11 @@
   const auto reserved = static_cast<double>(worker.reserved().processor_millis);
   double score = kFailureWeight * worker.consecutive_failures;
   if (!step.uses_spare_capacity) {
-    score +=
+    const double share =
         (reserved + static_cast<double>(step.size.processor_millis)) / capacity;
+    // Long-running tasks are packed, which leaves workers with room for large
+    // tasks and for spare runs that would disturb them; others are spread.
+    score += step.long_running ? -share : share;
   }
   if (step.target_latency_ms > 0) {
     score +=
