Consensus: Let an instance join a leader that it was not told of

A request to join went to the instances of the settings only, and only a leader took it. With the leader elsewhere, an instance with an empty disk and one that had been replaced never joined; the final fault then left two of five voters.

Change: an instance that does not lead answers with the members that it knows, and the joining one asks those too, and those of its own log.

Ruled out: the network (both exchanged pre-votes with other instances).

The pace policy is split into a class for slowdowns without a change of its decisions, but that a long miss pauses all spare runs at once.

--- a/packages/consensus/consensus_message.h
+++ b/packages/consensus/consensus_message.h
@@ -22,9 +22,10 @@
   kJoinRequest = 9,  // A learner or observer asks the leader for the log.
   kFreshnessProbe = 10,
   kFreshnessAnswer = 11,
+  kJoinAnswer = 12,  // Names the members, one of which leads.
 };
 
-inline constexpr MessageType kLastMessageType = MessageType::kFreshnessAnswer;
+inline constexpr MessageType kLastMessageType = MessageType::kJoinAnswer;
 
 // A message between two replicas. Fields that a type does not use are zero.
 struct ConsensusMessage {
--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -122,6 +122,9 @@
     case MessageType::kJoinRequest:
       HandleJoinRequest(message);
       break;
+    case MessageType::kJoinAnswer:
+      LearnPeers(message.configuration);
+      break;
     case MessageType::kFreshnessProbe:
       HandleProbe(message);
       break;
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -62,8 +62,8 @@
     MonotonicTime now;
     // Configuration before the first entry; empty for a replica that joins.
     Configuration initial_configuration;
-    // Learners become voters up to this number, and then in the place of a voter
-    // that falls silent. 0: no limit.
+    // Learners become voters up to this number, and then in the place of a
+    // voter that falls silent. 0: no limit.
     size_t target_voters = 0;
     // What storage recovered.
     HardState hard_state;
@@ -202,6 +202,8 @@
   void SetConfiguration(LogIndex index, Configuration configuration);
   void SyncProgress();
   void HandleJoinRequest(const ConsensusMessage& message);
+  // Adds the members to those that are asked for the log.
+  void LearnPeers(const Configuration& configuration);
   void SendJoinRequests();
   void AdvanceMembership();
   std::optional<MembershipChange> NextMembershipChange();
--- a/packages/consensus/replica_core_membership.cc
+++ b/packages/consensus/replica_core_membership.cc
@@ -94,6 +94,7 @@
     return;
   }
   join_sent_at_ = now_;
+  LearnPeers(configuration());
   for (const std::string& peer : peers_) {
     if (peer == id_.name) {
       continue;
@@ -105,8 +106,28 @@
   }
 }
 
+void ReplicaCore::LearnPeers(const Configuration& configuration) {
+  const auto learn = [this](const ReplicaId& id) {
+    if (id.name != id_.name &&
+        std::find(peers_.begin(), peers_.end(), id.name) == peers_.end()) {
+      peers_.push_back(id.name);
+    }
+  };
+  std::for_each(configuration.voters.begin(), configuration.voters.end(),
+                learn);
+  std::for_each(configuration.learners.begin(), configuration.learners.end(),
+                learn);
+}
+
 void ReplicaCore::HandleJoinRequest(const ConsensusMessage& message) {
-  if (role_ != ReplicaRole::kLeader || configuration().Contains(message.from)) {
+  if (role_ != ReplicaRole::kLeader) {
+    // The sender may know only instances that do not lead any more.
+    ConsensusMessage answer = MessageTo(MessageType::kJoinAnswer, message.from);
+    answer.configuration = configuration();
+    Send(std::move(answer));
+    return;
+  }
+  if (configuration().Contains(message.from)) {
     return;
   }
   if (message.observer) {
--- a/packages/dispatch/pace_policy.cc
+++ b/packages/dispatch/pace_policy.cc
@@ -32,12 +32,6 @@
 // whatever the model expects: the users' limit is 4 s.
 constexpr Milliseconds kLongestMiss{1'800};
 
-struct Disturber {
-  const RunKey* key = nullptr;
-  const TrackedRun* run = nullptr;
-  double loss = 0;
-};
-
 bool IsPaceable(const TrackedRun& run) {
   return run.step != nullptr && run.step->uses_spare_capacity &&
          run.phase == RunPhase::kRunning;
@@ -115,27 +109,97 @@
   }
 }
 
-// Spare runs that take, or may take, headroom from the run.
-std::vector<Disturber> DisturbersOf(const TrackedRun& disturbed,
-                                    const WorkerTrack& worker,
-                                    const DisturbanceModel& model,
-                                    double* known_loss) {
-  std::vector<Disturber> disturbers;
-  *known_loss = 0;
-  for (const auto& [key, run] : worker.runs()) {
-    if (!IsPaceable(run) || run.pace == 0) {
-      continue;
+DisturbanceModel::Effect EffectOn(const TrackedRun& disturbed,
+                                  const TrackedRun& spare,
+                                  const WorkerTrack& worker,
+                                  const DisturbanceModel& model) {
+  return model.EffectOf(*disturbed.step, *spare.step, spare.spare_phase,
+                        spare.pace, Capacity(worker));
+}
+
+// Slows down what takes headroom from the run, which misses its target.
+class Slowdown {
+ public:
+  Slowdown(const WorkerTrack& worker,
+           const DisturbanceModel& model,
+           std::vector<PacePolicy::Change>* changes)
+      : worker_(worker), model_(model), changes_(changes) {}
+
+  // The known disturbers, as far as needed. False when there are none.
+  bool SlowDisturbersOf(const TrackedRun& disturbed) {
+    std::vector<Disturber> disturbers;
+    double known_loss = 0;
+    for (const auto& [key, run] : worker_.runs()) {
+      const double loss =
+          IsActive(run) ? EffectOn(disturbed, run, worker_, model_).loss : 0;
+      if (loss >= kKnownLoss) {
+        disturbers.push_back({&key, &run, loss});
+        known_loss += loss;
+      }
     }
-    const DisturbanceModel::Effect effect =
-        model.EffectOf(*disturbed.step, *run.step, run.spare_phase, run.pace,
-                       Capacity(worker));
-    if (effect.loss >= kKnownLoss) {
-      disturbers.push_back({&key, &run, effect.loss});
-      *known_loss += effect.loss;
+    const double headroom = *HeadroomOf(disturbed);
+    const double needed = kSlowdownGoal - headroom;
+    // The share of the disturbance that may stay.
+    const double kept = headroom < kSaturatedHeadroom || known_loss <= needed
+                            ? 0
+                            : 1 - needed / known_loss;
+    for (const Disturber& disturber : disturbers) {
+      const auto percent =
+          static_cast<int64_t>(kept * static_cast<double>(disturber.run->pace));
+      Lower(*disturber.key, *disturber.run, percent / kPaceStep * kPaceStep,
+            disturber.loss);
+    }
+    return !disturbers.empty();
+  }
+
+  // Runs of which little is known: they are halved first.
+  void SlowSuspectsOf(const TrackedRun& disturbed) {
+    for (const auto& [key, run] : worker_.runs()) {
+      const auto effect = IsActive(run)
+                              ? EffectOn(disturbed, run, worker_, model_)
+                              : DisturbanceModel::Effect{};
+      if (effect.deviation >= kSuspectDeviation) {
+        const int64_t half = run.pace / 2 / kPaceStep * kPaceStep;
+        Lower(key, run, run.pace > 2 * kPaceStep ? half : 0, effect.loss);
+      }
+    }
+  }
+
+  void PauseAll() {
+    for (const auto& [key, run] : worker_.runs()) {
+      if (IsActive(run)) {
+        Lower(key, run, 0, 0);
+      }
+    }
+  }
+
+ private:
+  struct Disturber {
+    const RunKey* key = nullptr;
+    const TrackedRun* run = nullptr;
+    double loss = 0;
+  };
+
+  static bool IsActive(const TrackedRun& run) {
+    return IsPaceable(run) && run.pace > 0;
+  }
+
+  void Lower(const RunKey& key,
+             const TrackedRun& run,
+             int64_t percent,
+             double loss) {
+    const bool listed = std::any_of(
+        changes_->begin(), changes_->end(),
+        [&](const PacePolicy::Change& change) { return change.run == key; });
+    if (!listed && percent < run.pace) {
+      changes_->push_back({key, percent, loss, percent == 0 && IsMovable(run)});
     }
   }
-  return disturbers;
-}
+
+  const WorkerTrack& worker_;
+  const DisturbanceModel& model_;
+  std::vector<PacePolicy::Change>* const changes_;
+};
 
 }  // namespace
 
@@ -161,51 +225,15 @@
   if (now - worker.pace_lowered < kSettle) {
     return changes;  // The figures are older than the last change.
   }
-  const auto lower = [&](const RunKey& key, const TrackedRun& run,
-                         int64_t percent, double loss) {
-    const bool listed =
-        std::any_of(changes.begin(), changes.end(),
-                    [&](const Change& change) { return change.run == key; });
-    if (!listed && percent < run.pace) {
-      changes.push_back({key, percent, loss, percent == 0 && IsMovable(run)});
-    }
-  };
-  for (const auto& [disturbed_key, disturbed] : worker.runs()) {
-    if (!IsOverTarget(disturbed)) {
-      continue;
-    }
-    const double headroom = *HeadroomOf(disturbed);
-    double known_loss = 0;
-    const auto disturbers = DisturbersOf(disturbed, worker, model, &known_loss);
-    // The share of the disturbance that may stay.
-    const double needed = kSlowdownGoal - headroom;
-    const double kept = headroom < kSaturatedHeadroom || known_loss <= needed
-                            ? 0
-                            : 1 - needed / known_loss;
-    for (const Disturber& disturber : disturbers) {
-      const auto percent =
-          static_cast<int64_t>(kept * static_cast<double>(disturber.run->pace));
-      lower(*disturber.key, *disturber.run, percent / kPaceStep * kPaceStep,
-            disturber.loss);
-    }
-    const bool missed_long =
-        disturbed.over_since && now - *disturbed.over_since >= kLongestMiss;
-    if (!disturbers.empty() && !missed_long) {
+  Slowdown slowdown(worker, model, &changes);
+  for (const auto& [key, run] : worker.runs()) {
+    if (!IsOverTarget(run)) {
       continue;
     }
-    for (const auto& [key, run] : worker.runs()) {
-      if (!IsPaceable(run) || run.pace == 0) {
-        continue;
-      }
-      const DisturbanceModel::Effect effect =
-          model.EffectOf(*disturbed.step, *run.step, run.spare_phase, run.pace,
-                         Capacity(worker));
-      if (missed_long || effect.deviation >= kSuspectDeviation) {
-        const int64_t percent = missed_long || run.pace <= 2 * kPaceStep
-                                    ? 0
-                                    : run.pace / 2 / kPaceStep * kPaceStep;
-        lower(key, run, percent, effect.loss);
-      }
+    if (run.over_since && now - *run.over_since >= kLongestMiss) {
+      slowdown.PauseAll();
+    } else if (!slowdown.SlowDisturbersOf(run)) {
+      slowdown.SlowSuspectsOf(run);
     }
   }
   return changes;
--- a/packages/replication/fakes/cluster_simulation.cc
+++ b/packages/replication/fakes/cluster_simulation.cc
@@ -64,7 +64,7 @@
   options.disk = instance->disk;
   options.initial_voters = options_.voters;
   options.target_voters = options_.target_voters;
-  options.peers = names_;
+  options.peers = options_.peers.empty() ? names_ : options_.peers;
   options.seed = random_();
   options.snapshot_entries = options_.snapshot_entries;
   // Enough for the checker to see every entry before it is compacted.
--- a/packages/replication/fakes/cluster_simulation.h
+++ b/packages/replication/fakes/cluster_simulation.h
@@ -29,6 +29,8 @@
     // Instances with a disk that are down until Restart() starts them.
     std::vector<std::string> spares;
     size_t target_voters = 0;
+    // Instances that each one is told of; empty: all.
+    std::vector<std::string> peers;
     uint64_t seed = 0;
     double drop_probability = 0;
     Milliseconds maximum_delay{20};
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -336,6 +336,43 @@
   }
 }
 
+// Guards against an instance with an empty disk that never joins, because the
+// instances that it was told of do not lead.
+TEST(Simulation, InstanceJoinsALeaderThatItWasNotToldOf) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ClusterSimulation simulation({.voters = ThreeVoters(),
+                                  .spares = {"d", "e", "f"},
+                                  .target_voters = 5,
+                                  .peers = ThreeVoters(),
+                                  .seed = seed});
+    for (const char* spare : {"d", "e", "f"}) {
+      simulation.Restart(spare);
+    }
+    CHECK(simulation.RunUntilLeader());
+    simulation.RunFor(Milliseconds(5'000));
+    for (const char* told : {"a", "b"}) {
+      simulation.Crash(told, 0, false);
+      CHECK(simulation.RunUntilLeader());
+      simulation.RunFor(Milliseconds(5'000));
+    }
+    if (simulation.Leader() == "c") {
+      simulation.TransferLeadership("c");
+      CHECK(simulation.RunUntil([&] {
+        return !simulation.Leader().empty() && simulation.Leader() != "c";
+      }));
+    }
+    const std::string emptied = simulation.Leader() == "d" ? "e" : "d";
+    simulation.LoseDisk(emptied);
+    simulation.Restart(emptied);
+    simulation.RunFor(Milliseconds(8'000));
+    const Configuration& configuration =
+        simulation.At(simulation.Leader()).core()->configuration();
+    CHECK_TRUE_TEXT(configuration.Contains(simulation.At(emptied).core()->id()),
+                    simulation.Describe().c_str());
+    CheckSafe(simulation);
+  }
+}
+
 // Guards against a snapshot that does not fit into one message, and against
 // chunks that get lost.
 TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
