Dispatch: Start nothing on a worker before its clock is known

Cause: a worker that had just registered got starts without a lease, since its clock was not known; the leader then took the lease of every run there as ended and started the tasks elsewhere, up to five times within a second. A look that arrived meanwhile gave the worker a lease, so a start could be executed all the same.

Change: a worker takes runs only once its clock was observed, by a heartbeat or a look.

Ruled out: workers without contact (the answers were 0.1 to 0.6 s old).

Measured: Dispatcher.NewWorkerGetsNoStartBeforeItsClockIsKnown fails without the change and passes with it.

--- a/packages/dispatch/fakes/worker_with_target.cc
+++ b/packages/dispatch/fakes/worker_with_target.cc
@@ -26,6 +26,7 @@
   run.step = &serving_;
   worker_.AddRun(serving_key_, run);
   worker_.heard = true;
+  worker_.ObserveClock(1, Now());
   worker_.last_answer = Now();
 }
 
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -162,6 +162,36 @@
   LONGS_EQUAL(1, dispatcher.TakeEnds().ends.size());
 }
 
+// Guards against starts without a lease on a worker that has just registered:
+// they count as lost at once and start elsewhere, while the worker may run
+// them.
+TEST(Dispatcher, NewWorkerGetsNoStartBeforeItsClockIsKnown) {
+  FakePool pool({.workers = 1});
+  pool.RunFor(Milliseconds(15'000));
+  WorkerRegistration added = pool.state().workers().at("w0");
+  added.id = "new";
+  added.address = "10.0.0.99:80";
+  Dispatcher dispatcher({}, 2, pool.now());
+  const MonotonicTime late = pool.now() + Milliseconds(15'000);
+  dispatcher.Synchronize(pool.state(), pool.now());
+  pool.Apply(RemoveWorker{"w0", 0});
+  pool.Apply(PutWorker{added});
+  pool.Submit("job", FakePool::Job(1, 1));
+  dispatcher.Synchronize(pool.state(), late);
+  const auto count_starts = [&](MonotonicTime now) {
+    int starts = 0;
+    for (const WorkerOrder& order : dispatcher.Step(pool.state(), now, 1)) {
+      starts += std::holds_alternative<StartOrder>(order.body) ? 1 : 0;
+    }
+    return starts;
+  };
+  LONGS_EQUAL(0, count_starts(late));
+  dispatcher.ObserveClock("new", added.started_unix_ms, 1'000, late);
+  LONGS_EQUAL(1, count_starts(late + Milliseconds(100)));
+  LONGS_EQUAL(0, count_starts(late + Milliseconds(200)));
+  LONGS_EQUAL(0, dispatcher.counters().runs_lost);
+}
+
 // Guards against many tasks without a fitting worker that hold up those behind
 // them.
 TEST(Dispatcher, TasksThatFindNoWorkerHoldUpNoOthers) {
--- a/packages/dispatch/tests/worker_choice_test.cc
+++ b/packages/dispatch/tests/worker_choice_test.cc
@@ -70,6 +70,7 @@
         id, std::make_unique<WorkerTrack>(WorkerRegistration{
                 .id = id, .pool = "pool", .capacity = {16'000, 64'000, 0}}));
     workers_[id]->heard = true;
+    workers_[id]->ObserveClock(1, WorkerWithTarget::Now());
     workers_[id]->last_answer = WorkerWithTarget::Now();
   }
   TrackedRun run;
--- a/packages/dispatch/worker_choice.cc
+++ b/packages/dispatch/worker_choice.cc
@@ -114,8 +114,9 @@
                             const std::set<std::string>& evacuated,
                             MonotonicTime now) {
   const WorkerRegistration& registration = worker.registration();
-  return worker.heard && !worker.leaving && !registration.draining &&
-         registration.pool == pool &&
+  // Without the worker's clock, a start would carry no lease.
+  return worker.heard && worker.knows_clock() && !worker.leaving &&
+         !registration.draining && registration.pool == pool &&
          !evacuated.contains(registration.failure_domain) &&
          now - worker.last_answer < kReachableLimit &&
          now >= worker.avoid_until;
--- a/packages/dispatch/worker_track.h
+++ b/packages/dispatch/worker_track.h
@@ -59,6 +59,7 @@
 
   // Clock and lease ----------------------------------------------------------
   void ObserveClock(int64_t clock_ms, MonotonicTime received);
+  bool knows_clock() const { return clock_.has_value(); }
   // End of a lease of that length on the worker's clock, or nullopt while the
   // clock is not known. The worker counts as holding it from now on.
   std::optional<int64_t> GrantLease(Milliseconds lease, MonotonicTime now);
