Dispatch: Log why a ready step finds no worker

A job of a best-effort queue had nothing running for 38 s and no line said why: a placement that found no worker left no trace. step_waits counts the rejected workers by reason, after 1 s and each time the wait has doubled, so at most a few lines a step; dispatcher_longest_wait_ms shows the oldest wait. No decision changes.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -227,6 +227,10 @@
     };
     add("dispatcher_workers", dispatcher.worker_count());
     add("dispatcher_ready_tasks", dispatcher.ready_task_count());
+    samples->push_back(
+        {"dispatcher_longest_wait_ms",
+         {},
+         static_cast<double>(dispatcher.longest_wait().count())});
     add("dispatcher_starts_total", counters.starts);
     add("dispatcher_starts_refused_total", counters.starts_refused);
     add("dispatcher_ends_done_total", counters.runs_completed);
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -33,6 +33,8 @@
                                                "job_closed"};
 inline constexpr LogEventDefinition kAllWorkersContacted{
     9214, LogSeverity::kInfo, "workers_known_again"};
+inline constexpr LogEventDefinition kStepWaits{9215, LogSeverity::kInfo,
+                                               "step_waits"};
 
 }  // namespace bramleyrail
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -21,6 +21,8 @@
 // Pause after a task found no worker, before tasks of the same job step are
 // placed again.
 constexpr Milliseconds kPlacementRetryInterval{75};
+// A step that waits this long is logged.
+constexpr Milliseconds kFirstWaitReport{1'000};
 // Added to the maximum lease of an earlier leader, whose end is computed for
 // clocks that are 2% slow. Covers a worker that was paused and stops its runs
 // only after it resumes.
@@ -221,11 +223,17 @@
   // Placing a task removes its key from `ready_`, so the loop iterates over a
   // copy.
   const std::vector<ReadyKey> candidates(ready_.begin(), ready_.end());
+  longest_wait_ = Milliseconds(0);
   for (const ReadyKey& key : candidates) {
     const TaskName& task = std::get<2>(key);
     TrackedJob* job = FindJob(task.job);
     TrackedStep& tracked_step =
         job->occurrence(task.occurrence).steps[task.step];
+    if (tracked_step.waiting_since) {
+      longest_wait_ = std::max(
+          longest_wait_,
+          std::chrono::floor<Milliseconds>(now - *tracked_step.waiting_since));
+    }
     if (now < tracked_step.next_placement) {
       continue;
     }
@@ -242,18 +250,52 @@
     if (++attempts > kMaximumPlacementsPerStep) {
       break;
     }
-    const bool placed = job->step(task).gang ? PlaceGang(state, job, task, now)
-                                             : PlaceTask(state, job, task, now);
-    if (!placed) {
-      tracked_step.next_placement = now + kPlacementRetryInterval;
+    WorkerRejections rejections;
+    const bool placed = job->step(task).gang
+                            ? PlaceGang(state, job, task, now, &rejections)
+                            : PlaceTask(state, job, task, now, &rejections);
+    if (placed) {
+      tracked_step.waiting_since.reset();
+      tracked_step.wait_reports = 0;
+      continue;
     }
+    tracked_step.next_placement = now + kPlacementRetryInterval;
+    ReportWait(*job, task, rejections, now, &tracked_step);
+  }
+}
+
+void Dispatcher::ReportWait(const TrackedJob& job,
+                            const TaskName& task,
+                            const WorkerRejections& rejections,
+                            MonotonicTime now,
+                            TrackedStep* step) {
+  if (!step->waiting_since) {
+    step->waiting_since = now;
+  }
+  const auto waited =
+      std::chrono::floor<Milliseconds>(now - *step->waiting_since);
+  if (waited < kFirstWaitReport * (int64_t{1} << step->wait_reports)) {
+    return;
   }
+  ++step->wait_reports;
+  LogEvent(kStepWaits, {{"task", task.ToString()},
+                        {"waited_ms", waited.count()},
+                        {"late_ms", unix_ms_ - job.LatestStartUnixMs(task)},
+                        {"best_effort", job.step(task).best_effort},
+                        {"ineligible", rejections.ineligible},
+                        {"no_capacity", rejections.no_capacity},
+                        {"best_effort_full", rejections.best_effort_full},
+                        {"label_missing", rejections.label_missing},
+                        {"task_limit", rejections.task_limit},
+                        {"target_missed", rejections.target_missed},
+                        {"low_headroom", rejections.low_headroom}});
 }
 
 bool Dispatcher::PlaceTask(const QueueState& state,
                            TrackedJob* job,
                            const TaskName& task,
-                           MonotonicTime now) {
+                           MonotonicTime now,
+                           WorkerRejections* rejections) {
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
   WorkerRequest request{
@@ -267,19 +309,21 @@
       }
     }
   }
-  TrackedWorker* worker = selector_.Select(request, workers_, state.evacuated(),
-                                           interference_model_, now);
-  if (worker == nullptr) {
+  const WorkerSelection selection = selector_.Select(
+      request, workers_, state.evacuated(), interference_model_, now);
+  if (selection.worker == nullptr) {
+    *rejections = selection.rejections;
     return false;
   }
-  StartRun(job, task, NextRunNumber(tracked_task), worker, now);
+  StartRun(job, task, NextRunNumber(tracked_task), selection.worker, now);
   return true;
 }
 
 bool Dispatcher::PlaceGang(const QueueState& state,
                            TrackedJob* job,
                            const TaskName& first,
-                           MonotonicTime now) {
+                           MonotonicTime now,
+                           WorkerRejections* rejections) {
   const JobStep& step = job->step(first);
   // All members must fit at the same time, because members that started alone
   // would wait for the others. Temporary reservations test this.
@@ -292,9 +336,11 @@
     run = std::max(run, NextRunNumber(job->task(task)));
     const WorkerRequest request{&job->job(), &step, task,
                                 "",          rack,  Milliseconds(0)};
-    TrackedWorker* worker = selector_.Select(
+    const WorkerSelection selection = selector_.Select(
         request, workers_, state.evacuated(), interference_model_, now);
+    TrackedWorker* worker = selection.worker;
     if (worker == nullptr) {
+      *rejections = selection.rejections;
       break;
     }
     if (step.tightly_coupled && rack.empty()) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -104,6 +104,8 @@
   const Counters& counters() const { return counters_; }
   size_t worker_count() const { return workers_.size(); }
   size_t ready_task_count() const { return ready_.size(); }
+  // Longest time for which a step has found no worker for any task.
+  Milliseconds longest_wait() const { return longest_wait_; }
 
  private:
   // Priority, Unix time of the job's objective, task.
@@ -119,15 +121,24 @@
   void CloseJob(const std::string& id, std::string_view reason);
 
   void PlaceReadyTasks(const QueueState& state, MonotonicTime now);
-  // Returns false when no worker can run the task.
+  // Return false when no worker can run the task or a member of the gang, and
+  // why.
   bool PlaceTask(const QueueState& state,
                  TrackedJob* job,
                  const TaskName& task,
-                 MonotonicTime now);
+                 MonotonicTime now,
+                 WorkerRejections* rejections);
   bool PlaceGang(const QueueState& state,
                  TrackedJob* job,
                  const TaskName& first,
-                 MonotonicTime now);
+                 MonotonicTime now,
+                 WorkerRejections* rejections);
+  // Logs why a step waits, after 1 s and each time that the wait has doubled.
+  void ReportWait(const TrackedJob& job,
+                  const TaskName& task,
+                  const WorkerRejections& rejections,
+                  MonotonicTime now,
+                  TrackedStep* step);
   void StartRun(TrackedJob* job,
                 const TaskName& task,
                 uint64_t run,
@@ -192,6 +203,7 @@
   std::map<uint64_t, std::map<std::string, int64_t>> unconfirmed_batches_;
   uint64_t last_batch_ = 0;
   int64_t unix_ms_ = 0;  // Time of the current step.
+  Milliseconds longest_wait_{0};
   bool synchronized_ = false;
   bool all_workers_contacted_ = false;
   bool superseded_ = false;
--- a/packages/dispatch/tests/worker_selector_test.cc
+++ b/packages/dispatch/tests/worker_selector_test.cc
@@ -16,6 +16,7 @@
   QueuedJob job_;
   LatencyInterferenceModel model_;
   TrackedWorkers workers_;
+  WorkerRejections rejections_;  // Of the last selection.
   // Best-effort runs of the image "disturber" interfere with its run.
   WorkerWithLatencyTarget sensitive_{"a-sensitive"};
   WorkerWithLatencyTarget robust_{"b-robust", "robust"};
@@ -36,9 +37,11 @@
     request.job = &job_;
     request.step = &step;
     request.lateness = lateness;
-    const TrackedWorker* worker = selector_.Select(
+    const WorkerSelection selection = selector_.Select(
         request, workers_, {}, model_, WorkerWithLatencyTarget::Now());
-    return worker == nullptr ? "" : worker->registration().id;
+    rejections_ = selection.rejections;
+    return selection.worker == nullptr ? ""
+                                       : selection.worker->registration().id;
   }
 };
 
@@ -65,6 +68,21 @@
   STRCMP_EQUAL("b-robust", Select(harmless_, Milliseconds(5'000)).c_str());
 }
 
+// Fails when the log does not say why no worker runs a task.
+TEST(WorkerSelector, CountsTheReasonsOfRejections) {
+  sensitive_.SetTailLatency(2 * WorkerWithLatencyTarget::kTargetMs);
+  workers_["a-sensitive"] =
+      std::make_unique<TrackedWorker>(sensitive_.tracked_worker());
+  workers_["b-robust"]->contacted = false;
+  STRCMP_EQUAL("", Select(harmless_, Milliseconds(0)).c_str());
+  LONGS_EQUAL(1, rejections_.target_missed);
+  LONGS_EQUAL(1, rejections_.ineligible);
+  JobStep large = harmless_;
+  large.size.memory_mib = 1'000'000'000;
+  STRCMP_EQUAL("", Select(large, Milliseconds(0)).c_str());
+  LONGS_EQUAL(1, rejections_.no_capacity);
+}
+
 // Fails when long-running tasks are spread, which leaves no worker with
 // capacity for a large task.
 TEST(WorkerSelector, LongRunningTasksArePackedAndOthersSpread) {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -32,6 +32,10 @@
   std::vector<TrackedTask> tasks;
   // Earliest time of the next placement, after one that found no worker.
   MonotonicTime next_placement;
+  // Since when no task of the step could be placed although one was ready, and
+  // how often that was logged.
+  std::optional<MonotonicTime> waiting_since;
+  int wait_reports = 0;
   int64_t unfinished_tasks = 0;
   int64_t unfinished_predecessors = 0;
 };
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -77,9 +77,7 @@
   if (!step.best_effort) {
     needed.processor_millis += step.size.processor_millis;
   }
-  return needed.FitsInto(capacity) &&
-         (!step.best_effort ||
-          BestEffortShare(worker, step) <= kMaximumBestEffortShare);
+  return needed.FitsInto(capacity);
 }
 
 // Share of the image among the latency-sensitive runs on the worker.
@@ -168,11 +166,11 @@
   return score;
 }
 
-TrackedWorker* WorkerSelector::Select(const WorkerRequest& request,
-                                      const TrackedWorkers& workers,
-                                      const std::set<std::string>& evacuated,
-                                      const LatencyInterferenceModel& model,
-                                      MonotonicTime now) const {
+WorkerSelection WorkerSelector::Select(const WorkerRequest& request,
+                                       const TrackedWorkers& workers,
+                                       const std::set<std::string>& evacuated,
+                                       const LatencyInterferenceModel& model,
+                                       MonotonicTime now) const {
   const JobStep& step = *request.step;
   const double late_seconds =
       static_cast<double>((request.lateness + kLatenessMargin).count()) / 1'000;
@@ -180,21 +178,33 @@
       kMinimumHeadroom - kHeadroomReductionPerSecondLate *
                              std::clamp(late_seconds, 0.0, kMaximumLateSeconds);
   const size_t source = model.BusySourceOf(step.image);
-  TrackedWorker* best = nullptr;
+  WorkerSelection selection;
+  WorkerRejections& rejections = selection.rejections;
   double best_score = 0;
   for (const auto& [id, worker] : workers) {
-    if (!IsEligible(*worker, request.job->pool, evacuated, now) ||
-        !HasCapacityFor(*worker, step)) {
+    if (!IsEligible(*worker, request.job->pool, evacuated, now)) {
+      ++rejections.ineligible;
+      continue;
+    }
+    if (!HasCapacityFor(*worker, step)) {
+      ++rejections.no_capacity;
+      continue;
+    }
+    if (step.best_effort &&
+        BestEffortShare(*worker, step) > kMaximumBestEffortShare) {
+      ++rejections.best_effort_full;
       continue;
     }
     if (!step.required_label.empty() &&
         !HasLabel(worker->registration(), step.required_label)) {
+      ++rejections.label_missing;
       continue;
     }
     if (step.maximum_tasks_per_worker > 0 &&
         worker->CountRunsOfStep(request.task.job, request.task.occurrence,
                                 request.task.step) >=
             step.maximum_tasks_per_worker) {
+      ++rejections.task_limit;
       continue;
     }
     double score = 0;
@@ -204,8 +214,12 @@
       }
       const double headroom = model.MinimumHeadroomWith(
           source, *worker->best_effort_estimate, RequestedShare(step, *worker));
-      if (worker->best_effort_estimate->is_any_over_target ||
-          headroom < minimum_headroom) {
+      if (worker->best_effort_estimate->is_any_over_target) {
+        ++rejections.target_missed;
+        continue;
+      }
+      if (headroom < minimum_headroom) {
+        ++rejections.low_headroom;
         continue;
       }
       score += BestEffortShare(*worker, step) +
@@ -214,12 +228,12 @@
                    worker->best_effort_estimate->compatible_image_share;
     }
     score += Score(request, *worker, model);
-    if (best == nullptr || score < best_score) {
-      best = worker.get();
+    if (selection.worker == nullptr || score < best_score) {
+      selection.worker = worker.get();
       best_score = score;
     }
   }
-  return best;
+  return selection;
 }
 
 }  // namespace bramleyrail
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -1,6 +1,7 @@
 #ifndef PACKAGES_DISPATCH_WORKER_SELECTOR_H_
 #define PACKAGES_DISPATCH_WORKER_SELECTOR_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,22 @@
   Milliseconds lateness{0};
 };
 
+// How many workers could not run a task, by the first reason that was found.
+struct WorkerRejections {
+  int64_t ineligible = 0;        // See IsEligible().
+  int64_t no_capacity = 0;       // Memory, accelerators or reserved processors.
+  int64_t best_effort_full = 0;  // Best-effort runs request all that is unused.
+  int64_t label_missing = 0;
+  int64_t task_limit = 0;     // See JobStep::maximum_tasks_per_worker.
+  int64_t target_missed = 0;  // A run is over its target latency.
+  int64_t low_headroom = 0;   // A run would come too close to its target.
+};
+
+struct WorkerSelection {
+  TrackedWorker* worker = nullptr;  // Null when no worker can run the task.
+  WorkerRejections rejections;
+};
+
 // Selects workers by capacity, labels, rack, region, recent failures and
 // latency interference.
 class WorkerSelector {
@@ -37,12 +54,12 @@
 
   explicit WorkerSelector(Options options) : options_(std::move(options)) {}
 
-  // Returns the best worker for the task, or nullptr when none can run it.
-  TrackedWorker* Select(const WorkerRequest& request,
-                        const TrackedWorkers& workers,
-                        const std::set<std::string>& evacuated,
-                        const LatencyInterferenceModel& model,
-                        MonotonicTime now) const;
+  // Selects the best worker for the task.
+  WorkerSelection Select(const WorkerRequest& request,
+                         const TrackedWorkers& workers,
+                         const std::set<std::string>& evacuated,
+                         const LatencyInterferenceModel& model,
+                         MonotonicTime now) const;
 
   // CPU limit, in percent, that a best-effort run starts with on the worker.
   static int64_t InitialCpuLimit(const JobStep& step,
