Storage, Replication: Keep a replica that lacks a descriptor

The instance logged storage_stopped, left the quorum for good, and the next leader inherited the connections that had used up its descriptors.

Change: Disk reports a lack of descriptors or memory as kResourceExhausted.

The folder's descriptor stays open for its syncs.

The random simulation now takes descriptors away as well.

--- a/packages/replication/replica_driver.cc
+++ b/packages/replication/replica_driver.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr size_t kSnapshotIntervalBytes = size_t{8} * 1024 * 1024;
+// Pause after a snapshot for which no file could be opened. The log grows on.
+constexpr Milliseconds kSnapshotRetryPause{2'000};
 
 Formation::Options FormationOptions(const ReplicaOptions& options) {
   return {options.instance_name, options.initial_voters,
@@ -155,6 +157,10 @@
   options.id = identity.id;
   options.initial_configuration = identity.initial_configuration;
   const Result<void> formatted = store_->Format(identity);
+  if (IsRepeatable(formatted)) {
+    LogEvent(kStorageDeferred, {{"error", formatted.error().ToString()}});
+    return;  // The next step decides again.
+  }
   if (formatted.has_error()) {
     options.id.generation = NewGeneration();
     options.initial_configuration = {};
@@ -170,6 +176,13 @@
 
 void ReplicaDriver::Step(MonotonicTime now, Input input) {
   now_ = std::max(now_, now);
+  if (deferred_output_ && !FinishDeferredOutput()) {
+    // Like a disk that stalls: messages are lost, and proposals wait.
+    for (Proposal& proposal : input.proposals) {
+      tracker_.Submit(std::move(proposal));
+    }
+    return;
+  }
   if (core_) {
     core_->AdvanceTime(now_);
   }
@@ -202,7 +215,7 @@
 
 void ReplicaDriver::Flush() {
   while (true) {
-    const ReplicaCore::Output output = core_->TakeOutput();
+    ReplicaCore::Output output = core_->TakeOutput();
     const bool empty = output.messages.empty() && !output.NeedsSync() &&
                        output.messages_after_sync.empty() &&
                        output.committed.empty();
@@ -210,12 +223,24 @@
       return;
     }
     SendAll(output.messages);
-    Persist(output);
+    if (!Persist(output)) {
+      deferred_output_ = std::move(output);
+      return;
+    }
     Apply(output);
   }
 }
 
-void ReplicaDriver::Persist(const ReplicaCore::Output& output) {
+bool ReplicaDriver::FinishDeferredOutput() {
+  if (!Persist(*deferred_output_)) {
+    return false;
+  }
+  Apply(*deferred_output_);
+  deferred_output_.reset();
+  return true;
+}
+
+bool ReplicaDriver::Persist(const ReplicaCore::Output& output) {
   if (core_->kind() == ReplicaCore::Kind::kReplica && output.NeedsSync()) {
     Result<void> result = Success();
     if (output.snapshot) {
@@ -227,14 +252,21 @@
     if (result.has_value()) {
       result = store_->Append(output.hard_state, output.entries);
     }
+    if (IsRepeatable(result)) {
+      if (!deferred_output_) {
+        LogEvent(kStorageDeferred, {{"error", result.error().ToString()}});
+      }
+      return false;
+    }
     if (result.has_error()) {
       // Messages that depend on the failed sync are not sent.
       StopStorage(result.error());
-      return;
+      return true;
     }
   }
   core_->HandlePersisted(core_->last_index());
   SendAll(output.messages_after_sync);
+  return true;
 }
 
 void ReplicaDriver::Apply(const ReplicaCore::Output& output) {
@@ -258,8 +290,9 @@
 
 void ReplicaDriver::SaveSnapshotIfDue() {
   const LogIndex index = core_->applied_index();
-  if (index - snapshot_index_ < options_.snapshot_entries &&
-      bytes_since_snapshot_ < kSnapshotIntervalBytes) {
+  const bool due = index - snapshot_index_ >= options_.snapshot_entries ||
+                   bytes_since_snapshot_ >= kSnapshotIntervalBytes;
+  if (!due || now_ < next_snapshot_ || deferred_output_) {
     return;
   }
   const bool observer = core_->kind() == ReplicaCore::Kind::kObserver;
@@ -267,12 +300,15 @@
   snapshot->index = index;
   snapshot->term = *core_->TermAt(index);
   snapshot->configuration = core_->ConfigurationAt(index);
-  snapshot_index_ = index;
-  bytes_since_snapshot_ = 0;
   if (!observer) {
     snapshot->data = options_.snapshot();
     const Result<void> result = store_->SaveSnapshot(
         *snapshot, core_->EntriesBetween(index + 1, core_->last_index()));
+    if (IsRepeatable(result)) {
+      next_snapshot_ = now_ + kSnapshotRetryPause;
+      LogEvent(kStorageDeferred, {{"error", result.error().ToString()}});
+      return;
+    }
     if (result.has_error()) {
       StopStorage(result.error());
     } else {
@@ -280,6 +316,8 @@
                {{"index", index}, {"bytes", snapshot->data.size()}});
     }
   }
+  snapshot_index_ = index;
+  bytes_since_snapshot_ = 0;
   // An observer never sends its snapshot, so the snapshot's data stays empty.
   core_->Compact(std::move(snapshot));
 }
@@ -311,14 +349,15 @@
 }
 
 std::optional<MonotonicTime> ReplicaDriver::LeaseEnd() const {
-  if (!core_ || !core_->HasCommittedInTerm()) {
+  if (!core_ || deferred_output_ || !core_->HasCommittedInTerm()) {
     return std::nullopt;
   }
   return core_->LeaseEnd();
 }
 
 std::optional<MonotonicTime> ReplicaDriver::FreshAsOf() const {
-  return core_ ? core_->FreshAsOf() : std::nullopt;
+  // The core counts entries of a deferred output as applied.
+  return core_ && !deferred_output_ ? core_->FreshAsOf() : std::nullopt;
 }
 
 }  // namespace bramleyrail
--- a/packages/replication/replica_driver.h
+++ b/packages/replication/replica_driver.h
@@ -63,7 +63,10 @@
                   const Result<Bytes>& result);
   void SendAll(const std::vector<ConsensusMessage>& messages);
   void Flush();
-  void Persist(const ReplicaCore::Output& output);
+  // Returns false when the output has to be persisted again later.
+  bool Persist(const ReplicaCore::Output& output);
+  // Persists and applies the output that an earlier step could not.
+  bool FinishDeferredOutput();
   void Apply(const ReplicaCore::Output& output);
   void SaveSnapshotIfDue();
   void StopStorage(const Error& fault);
@@ -78,8 +81,12 @@
   std::unique_ptr<ReplicaCore> core_;  // Null until the folder is formatted.
   MonotonicTime now_;
 
+  // Output that could not be persisted, because a file could not be opened.
+  // The core takes no input until it is.
+  std::optional<ReplicaCore::Output> deferred_output_;
   LogIndex snapshot_index_ = 0;
   size_t bytes_since_snapshot_ = 0;
+  MonotonicTime next_snapshot_;  // Earliest time of the next attempt.
 
   ReplicaRole logged_role_ = ReplicaRole::kFollower;
   std::optional<ReplicaId> logged_leader_;
--- a/packages/replication/replication_events.h
+++ b/packages/replication/replication_events.h
@@ -26,6 +26,9 @@
 inline constexpr LogEventDefinition kLeadershipTransferRequested{
     3009, LogSeverity::kInfo, "leadership_transfer_requested"};
 
+inline constexpr LogEventDefinition kStorageDeferred{
+    3010, LogSeverity::kWarning, "storage_deferred"};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_REPLICATION_REPLICATION_EVENTS_H_
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -8,7 +8,7 @@
 namespace bramleyrail {
 namespace {
 
-constexpr uint64_t kFaultKinds = 12;
+constexpr uint64_t kFaultKinds = 13;
 constexpr uint64_t kSeeds = 60;
 constexpr int kRoundsPerSeed = 200;
 
@@ -62,6 +62,12 @@
         simulation->TransferLeadership(name);
       }
       break;
+    case 9:
+      if (has_disk) {
+        bool& free = simulation->DiskOf(name).has_free_descriptors;
+        free = !free;
+      }
+      break;
     default:
       for (const std::string& each : names) {
         simulation->Resume(each);
@@ -81,6 +87,7 @@
   for (const std::string& name : simulation->names()) {
     if (!name.starts_with("observer")) {
       simulation->DiskOf(name).remaining_successful_calls = std::nullopt;
+      simulation->DiskOf(name).has_free_descriptors = true;
     }
     simulation->Crash(name, 0, false);
     simulation->Resume(name);
@@ -443,6 +450,59 @@
   CheckSafe(simulation);
 }
 
+// A leader without a free descriptor stopped its storage when a snapshot was
+// due, left the quorum for good, and so did its successor: acknowledged entries
+// were lost with a third instance.
+TEST(Simulation, LeaderWithoutFreeDescriptorsStaysAVoter) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 8});
+  CHECK(simulation.RunUntilLeader());
+  const std::string leader = simulation.Leader();
+  simulation.DiskOf(leader).has_free_descriptors = false;
+  simulation.ProposeTogether(leader, 120);
+  simulation.RunFor(Milliseconds(3'000));
+  STRCMP_EQUAL(leader.c_str(), simulation.Leader().c_str());
+  CHECK(!simulation.At(leader).Status().is_observer);
+  CHECK(!simulation.At(leader).Status().storage_fault.has_value());
+  simulation.DiskOf(leader).has_free_descriptors = true;
+  simulation.RunFor(Milliseconds(3'000));
+  // The snapshot is saved later, so a restart reads it.
+  simulation.Crash(leader, 0, false);
+  const int restored = simulation.snapshots_restored();
+  simulation.Restart(leader);
+  CHECK(simulation.snapshots_restored() > restored);
+  CHECK(simulation.RunUntilConverged());
+  CheckSafe(simulation);
+}
+
+// A follower that cannot open a file for the leader's snapshot stays a voter
+// and installs the snapshot once it can.
+TEST(Simulation, FollowerWithoutFreeDescriptorsInstallsTheSnapshotLater) {
+  ClusterSimulation simulation({.voters = ThreeVoters(), .seed = 9});
+  CHECK(simulation.RunUntilLeader());
+  const std::string leader = simulation.Leader();
+  const std::string follower = leader == "a" ? "b" : "a";
+  simulation.Crash(follower, 0, false);
+  // Many enough that the leader has compacted what the follower misses.
+  for (int round = 0; round < 12; ++round) {
+    simulation.ProposeTogether(leader, 100);
+    simulation.RunFor(Milliseconds(300));
+  }
+  simulation.Restart(follower);
+  simulation.DiskOf(follower).has_free_descriptors = false;
+  const int restored = simulation.snapshots_restored();
+  simulation.RunFor(Milliseconds(2'000));
+  LONGS_EQUAL(restored, simulation.snapshots_restored());
+  CHECK(!simulation.At(follower).Status().storage_fault.has_value());
+  CHECK(!simulation.At(follower).FreshAsOf().has_value());
+  simulation.DiskOf(follower).has_free_descriptors = true;
+  CHECK(simulation.RunUntil(
+      [&] { return simulation.snapshots_restored() > restored; }));
+  simulation.Propose(leader);
+  CHECK(simulation.RunUntilConverged());
+  CHECK(!simulation.At(follower).Status().is_observer);
+  CheckSafe(simulation);
+}
+
 // One sync for each proposal would limit the rate of changes to the sync rate
 // of the disk.
 TEST(Simulation, ProposalsOfOneStepShareASync) {
--- a/packages/replication/tests/wire_message_test.cc
+++ b/packages/replication/tests/wire_message_test.cc
@@ -81,7 +81,8 @@
   for (const LogEventDefinition& event :
        {kReplicaStarted, kFolderFormatted, kRoleChanged, kMembershipChanged,
         kStorageStopped, kTornTailTruncated, kSnapshotSaved, kSnapshotInstalled,
-        kReplicationMessageRefused, kLeadershipTransferRequested}) {
+        kReplicationMessageRefused, kLeadershipTransferRequested,
+        kStorageDeferred}) {
     STRCMP_CONTAINS(event.name, catalogue.str().c_str());
     STRCMP_CONTAINS(std::to_string(event.number).c_str(),
                     catalogue.str().c_str());
--- a/packages/storage/disk.h
+++ b/packages/storage/disk.h
@@ -22,7 +22,16 @@
   virtual Result<void> Sync() = 0;
 };
 
-// A folder of files without subfolders. Every failure is a kStorage error.
+// Whether a storage operation failed for a lack of descriptors or memory. That
+// is no fault of the disk, and the operation has changed nothing.
+inline bool IsRepeatable(const Result<void>& result) {
+  return result.has_error() &&
+         result.error().kind == ErrorKind::kResourceExhausted;
+}
+
+// A folder of files without subfolders. A failure is a kStorage error, or
+// kResourceExhausted when the process lacks descriptors or memory: nothing was
+// changed then, and a later call may succeed.
 class Disk {
  public:
   virtual ~Disk() = default;
--- a/packages/storage/fakes/fake_disk.cc
+++ b/packages/storage/fakes/fake_disk.cc
@@ -80,6 +80,11 @@
 }
 
 Result<std::unique_ptr<DiskFile>> FakeDisk::Create(std::string_view name) {
+  if (!has_free_descriptors) {
+    return MakeError(ErrorKind::kResourceExhausted,
+                     "the fake disk has no free descriptors",
+                     "set has_free_descriptors");
+  }
   TRY(ConsumeSuccessfulCall());
   auto file = std::make_shared<File>();
   folder_[std::string(name)] = file;
--- a/packages/storage/fakes/fake_disk.h
+++ b/packages/storage/fakes/fake_disk.h
@@ -43,6 +43,9 @@
   // Free space in bytes; nullopt: no limit. A write that exceeds it is done in
   // part and fails.
   std::optional<size_t> free_bytes;
+  // While false, no file can be created, as in a process without free
+  // descriptors.
+  bool has_free_descriptors = true;
   int syncs = 0;
   uint64_t bytes_read = 0;
 
--- a/packages/storage/posix_disk.cc
+++ b/packages/storage/posix_disk.cc
@@ -20,9 +20,12 @@
 constexpr mode_t kFolderMode = 0750;
 constexpr mode_t kFileMode = 0640;
 
-Result<void> SyncFolderAt(const std::string& path) {
-  const FileDescriptor folder(
-      open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+FileDescriptor OpenFolder(const std::string& path) {
+  return FileDescriptor(open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+}
+
+Result<void> SyncFolderOf(const FileDescriptor& folder,
+                          const std::string& path) {
   if (!folder.is_open() || fsync(folder.number()) != 0) {
     return MakePosixError("sync folder", path);
   }
@@ -31,16 +34,25 @@
 
 }  // namespace
 
-PosixDisk::PosixDisk(std::string folder, FileDescriptor lock)
-    : folder_(std::move(folder)), lock_(std::move(lock)) {}
+PosixDisk::PosixDisk(std::string path,
+                     FileDescriptor folder,
+                     FileDescriptor lock)
+    : path_(std::move(path)),
+      folder_(std::move(folder)),
+      lock_(std::move(lock)) {}
 
 Result<std::unique_ptr<PosixDisk>> PosixDisk::Open(const std::string& folder) {
   if (mkdir(folder.c_str(), kFolderMode) == 0) {
     // Without a sync of the parent folder, a crash could lose the new folder.
-    TRY(SyncFolderAt(folder + "/.."));
+    const std::string parent = folder + "/..";
+    TRY(SyncFolderOf(OpenFolder(parent), parent));
   } else if (errno != EEXIST) {
     return MakePosixError("create folder", folder);
   }
+  FileDescriptor opened_folder = OpenFolder(folder);
+  if (!opened_folder.is_open()) {
+    return MakePosixError("open folder", folder);
+  }
   const std::string path = folder + "/" + kLockName;
   FileDescriptor lock(
       open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode));
@@ -52,13 +64,14 @@
                      "another process uses the data folder '" + folder + "'",
                      "stop that process, or configure another data folder");
   }
-  return std::unique_ptr<PosixDisk>(new PosixDisk(folder, std::move(lock)));
+  return std::unique_ptr<PosixDisk>(
+      new PosixDisk(folder, std::move(opened_folder), std::move(lock)));
 }
 
 Result<std::vector<std::string>> PosixDisk::List() {
   std::error_code error;
   std::vector<std::string> names;
-  for (const auto& item : std::filesystem::directory_iterator(folder_, error)) {
+  for (const auto& item : std::filesystem::directory_iterator(path_, error)) {
     std::string name = item.path().filename().string();
     if (name != kLockName) {
       names.push_back(std::move(name));
@@ -66,7 +79,7 @@
   }
   if (error) {
     errno = error.value();
-    return MakePosixError("list", folder_);
+    return MakePosixError("list", path_);
   }
   return names;
 }
@@ -113,7 +126,7 @@
   FileDescriptor file(
       open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, kFileMode));
   if (!file.is_open()) {
-    return MakePosixError("open", path);
+    return MakeOpenError(path);
   }
   return std::unique_ptr<DiskFile>(
       std::make_unique<PosixDiskFile>(std::move(path), std::move(file)));
@@ -145,11 +158,11 @@
 }
 
 Result<void> PosixDisk::SyncFolder() {
-  return SyncFolderAt(folder_);
+  return SyncFolderOf(folder_, path_);
 }
 
 std::string PosixDisk::PathOf(std::string_view name) const {
-  std::string path = folder_;
+  std::string path = path_;
   path.append("/").append(name);
   return path;
 }
--- a/packages/storage/posix_disk.h
+++ b/packages/storage/posix_disk.h
@@ -29,12 +29,14 @@
   Result<void> SyncFolder() override;
 
  private:
-  PosixDisk(std::string folder, FileDescriptor lock);
+  PosixDisk(std::string path, FileDescriptor folder, FileDescriptor lock);
 
   std::string PathOf(std::string_view name) const;
   Result<std::unique_ptr<DiskFile>> OpenFile(std::string_view name, int flags);
 
-  std::string folder_;
+  std::string path_;
+  // Stays open, so that a sync of the folder needs no further descriptor.
+  FileDescriptor folder_;
   FileDescriptor lock_;
 };
 
--- a/packages/storage/posix_disk_file.cc
+++ b/packages/storage/posix_disk_file.cc
@@ -8,6 +8,19 @@
 
 namespace bramleyrail {
 
+Error MakeOpenError(std::string_view path) {
+  const int code = errno;
+  if (code != EMFILE && code != ENFILE && code != ENOMEM) {
+    return MakePosixError("open", path);
+  }
+  std::string message = "cannot open '";
+  message.append(path).append("': ");
+  message += std::generic_category().message(code);
+  return MakeError(ErrorKind::kResourceExhausted, std::move(message),
+                   "raise the limit of descriptors or memory of the process; "
+                   "the operation is tried again");
+}
+
 Error MakePosixError(std::string_view action, std::string_view path) {
   const int code = errno;
   std::string message = "cannot ";
--- a/packages/storage/posix_disk_file.h
+++ b/packages/storage/posix_disk_file.h
@@ -12,6 +12,9 @@
 // Returns a kStorage error with the text of errno for a failed `action` on
 // `path`.
 Error MakePosixError(std::string_view action, std::string_view path);
+// The same for a file that could not be opened. kResourceExhausted when the
+// process or the machine lacks descriptors or memory.
+Error MakeOpenError(std::string_view path);
 
 class PosixDiskFile : public DiskFile {
  public:
--- a/packages/storage/replica_store.cc
+++ b/packages/storage/replica_store.cc
@@ -20,7 +20,7 @@
     : disk_(std::move(disk)) {}
 
 Result<void> ReplicaStore::RecordError(Result<void> result) {
-  if (result.has_error()) {
+  if (result.has_error() && !IsRepeatable(result)) {
     storage_error_ = result.error();
   }
   return result;
@@ -30,13 +30,17 @@
   if (storage_error_) {
     return *storage_error_;
   }
-  BRAMLEYRAIL_ASSERT(segment_first_batches_.empty(),
-                     "Format() requires an empty data folder");
-  // The identity is written last, since a folder without it counts as empty.
-  const Result<void> started = RecordError(
-      StartSegment({MakeRecord(LogBase{}), MakeRecord(HardState{})}));
-  if (started.has_error()) {
-    return started;
+  BRAMLEYRAIL_ASSERT(
+      segment_first_batches_.empty() || current_segment_ != nullptr,
+      "Format() requires an empty data folder");
+  // The identity is written last, since a folder without it counts as empty. A
+  // repeated call finds the segment of the earlier one.
+  if (segment_first_batches_.empty()) {
+    const Result<void> started = RecordError(
+        StartSegment({MakeRecord(LogBase{}), MakeRecord(HardState{})}));
+    if (started.has_error()) {
+      return started;
+    }
   }
   return RecordError(
       WriteFileAtomically(kIdentityFileName, EncodeIdentity(identity)));
@@ -53,8 +57,18 @@
 Result<void> ReplicaStore::AppendRecords(
     const std::optional<HardState>& hard_state,
     std::span<const LogEntry> entries) {
-  const bool starts_segment =
-      current_segment_bytes_ >= kSegmentSizeThresholdBytes;
+  if (!hard_state && entries.empty()) {
+    return Success();
+  }
+  bool starts_segment = current_segment_bytes_ >= kSegmentSizeThresholdBytes;
+  if (starts_segment) {
+    const Result<void> opened = OpenSegment();
+    if (opened.has_error() && !IsRepeatable(opened)) {
+      return opened;
+    }
+    // Without a descriptor for the next segment, the current one grows on.
+    starts_segment = opened.has_value();
+  }
   if (hard_state) {
     hard_state_ = *hard_state;
   }
@@ -65,11 +79,8 @@
   for (const LogEntry& entry : entries) {
     records.push_back(MakeRecord(entry));
   }
-  if (records.empty()) {
-    return Success();
-  }
-  return starts_segment ? StartSegment(std::move(records))
-                        : WriteBatch(std::move(records));
+  TRY(WriteBatch(std::move(records)));
+  return starts_segment ? disk_->SyncFolder() : Success();
 }
 
 Result<void> ReplicaStore::SaveSnapshot(
@@ -86,7 +97,10 @@
     std::span<const LogEntry> following_entries) {
   TRY(WriteFileAtomically(SnapshotName(snapshot.index),
                           EncodeSnapshot(snapshot)));
-  snapshot_indexes_.push_back(snapshot.index);
+  // A repeated call replaces the file of the earlier one.
+  if (snapshot_indexes_.empty() || snapshot_indexes_.back() != snapshot.index) {
+    snapshot_indexes_.push_back(snapshot.index);
+  }
   return StartLogAfter(snapshot, following_entries);
 }
 
@@ -129,11 +143,16 @@
   return Success();
 }
 
-Result<void> ReplicaStore::StartSegment(std::vector<LogRecord> records) {
+Result<void> ReplicaStore::OpenSegment() {
   TRY(file, disk_->Create(SegmentName(next_batch_)));
   current_segment_ = std::move(file);
   current_segment_bytes_ = 0;
   segment_first_batches_.push_back(next_batch_);
+  return Success();
+}
+
+Result<void> ReplicaStore::StartSegment(std::vector<LogRecord> records) {
+  TRY(OpenSegment());
   TRY(WriteBatch(std::move(records)));
   return disk_->SyncFolder();
 }
--- a/packages/storage/replica_store.h
+++ b/packages/storage/replica_store.h
@@ -34,7 +34,8 @@
 // Stores the hard state, log and snapshot of one replica in one folder. Every
 // change is durable when the call returns. After a failed write or sync, all
 // further calls fail, since the page cache may no longer show the durable
-// content. Not thread-safe.
+// content. A kResourceExhausted error leaves the store usable: the call may be
+// repeated. Not thread-safe.
 class ReplicaStore {
  public:
   // Opens the store and recovers its state. kDataLoss when a record that had
@@ -74,6 +75,8 @@
   Result<void> WriteFileAtomically(const std::string& name,
                                    std::span<const std::byte> data);
   Result<void> WriteBatch(std::vector<LogRecord> records);
+  // Creates the file of the next segment; the first batch is not written yet.
+  Result<void> OpenSegment();
   Result<void> StartSegment(std::vector<LogRecord> records);
   Result<void> AppendRecords(const std::optional<HardState>& hard_state,
                              std::span<const LogEntry> entries);
@@ -83,7 +86,8 @@
                              std::span<const LogEntry> following_entries);
   Result<void> RemoveSegmentsBefore(uint64_t first_batch);
   Result<void> RemoveSnapshotsBefore(LogIndex index);
-  // Stores the error of a failed operation and returns `result`.
+  // Stores the error of a failed operation, unless it may be repeated, and
+  // returns `result`.
   Result<void> RecordError(Result<void> result);
 
   std::shared_ptr<Disk> disk_;
--- a/packages/storage/tests/replica_store_test.cc
+++ b/packages/storage/tests/replica_store_test.cc
@@ -183,6 +183,40 @@
   LONGS_EQUAL(2, state.entries.size());
 }
 
+// A snapshot for which no file can be opened stopped the store for good.
+TEST(ReplicaStore, SnapshotWithoutADescriptorCanBeSavedLater) {
+  auto store = MakeStore(6);
+  disk_->has_free_descriptors = false;
+  const Snapshot snapshot{4, 3, {}, Bytes(20)};
+  const std::vector<LogEntry> following = {MakeEntry(5, 3), MakeEntry(6, 3)};
+  const auto refused = store->SaveSnapshot(snapshot, following);
+  CHECK(refused.has_error());
+  CHECK(refused.error().kind == ErrorKind::kResourceExhausted);
+  CHECK(!store->storage_error().has_value());
+  AppendThrough(*store, 7, 8);
+  LONGS_EQUAL(8, Reopen().entries.size());
+  disk_->has_free_descriptors = true;
+  auto reopened = ReplicaStore::Open(disk_).value();
+  CHECK(reopened->SaveSnapshot(snapshot, following).has_value());
+  LONGS_EQUAL(4, Reopen().snapshot->index);
+}
+
+// A log that reached its segment size while no file could be opened stopped the
+// store for good.
+TEST(ReplicaStore, LogWithoutADescriptorForASegmentGrowsOn) {
+  auto store = MakeStore(1);
+  disk_->has_free_descriptors = false;
+  for (LogIndex index = 2; index <= 8; ++index) {
+    LogEntry entry = MakeEntry(index, 3);
+    entry.data.resize(size_t{1} << 20);
+    CHECK(store->Append(std::nullopt, {{entry}}).has_value());
+  }
+  LONGS_EQUAL(8, Reopen().entries.size());
+  disk_->has_free_descriptors = true;
+  AppendThrough(*store, 9, 9);
+  LONGS_EQUAL(9, Reopen().entries.size());
+}
+
 // A restart must not read the log from before the snapshot.
 TEST(ReplicaStore, RecoveryReadsOnlyWhatFollowsTheSnapshot) {
   auto store = MakeStore(1000);
