Http, Control: Bound the connections to workers, and tell of a second copy

Cause: a call whose kept connection ended without a byte was sent again. When the second attempt could not connect, the call was reported as not sent, although the worker may have executed the first copy; when the second copy was rejected, that counted for the first one too. The dispatcher then started the task elsewhere: two runs at once, or one after the last attempt. Besides, the client opened a connection for each order that was due at once and kept 16 for each worker without a total.

Change: ConnectionPool decides within a total and a limit for each address, closes the connection that is idle for longest, and lets further calls wait. A failure after a copy was sent is an unknown outcome, and a response to a second copy is marked, so that only outcomes that hold for both copies are believed. Just before it is written, an order asks whether this instance still leads, since it may have waited, or the process may have been suspended.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -139,14 +139,24 @@
 void DispatchLoop::Send(WorkerOrder order) {
   const MonotonicTime sent = options_.clock();
   const int64_t leader_epoch = dispatcher_->leader_epoch();
-  options_.call_worker(order, leader_epoch,
-                       [this, alive = alive_, order, sent,
-                        leader_epoch](const OrderResponse& response) {
-                         if (*alive && dispatcher_ != nullptr &&
-                             dispatcher_->leader_epoch() == leader_epoch) {
-                           HandleResponse(order, response, sent);
-                         }
-                       });
+  options_.call_worker(
+      order, leader_epoch,
+      // An order may wait for a connection, or this process may be suspended
+      // meanwhile, and another instance may lead by then.
+      [this, alive = alive_, leader_epoch] {
+        return *alive && StillLeads(leader_epoch) &&
+               queue_->replica().IsLeader();
+      },
+      [this, alive = alive_, order, sent,
+       leader_epoch](const OrderResponse& response) {
+        if (*alive && StillLeads(leader_epoch)) {
+          HandleResponse(order, response, sent);
+        }
+      });
+}
+
+bool DispatchLoop::StillLeads(int64_t leader_epoch) const {
+  return dispatcher_ != nullptr && dispatcher_->leader_epoch() == leader_epoch;
 }
 
 void DispatchLoop::HandleResponse(const WorkerOrder& order,
@@ -199,8 +209,7 @@
       [this, alive = alive_, loop = loop_, batch,
        leader_epoch](const Result<QueueOutcome>& outcome) {
         loop->Post([this, alive, batch, leader_epoch, outcome] {
-          if (!*alive || dispatcher_ == nullptr ||
-              dispatcher_->leader_epoch() != leader_epoch) {
+          if (!*alive || !StillLeads(leader_epoch)) {
             return;  // The next leader reads them from workers' reports.
           }
           if (outcome) {
@@ -213,8 +222,7 @@
                     {"error", outcome.error().ToString()}});
           loop_->RunAfter(kRecordRetryDelay,
                           [this, alive, batch, leader_epoch] {
-                            if (*alive && dispatcher_ != nullptr &&
-                                dispatcher_->leader_epoch() == leader_epoch) {
+                            if (*alive && StillLeads(leader_epoch)) {
                               ProposeBatch(batch);
                             }
                           });
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -19,10 +19,12 @@
   LeaseRenewalResponse lease_renewal;  // For LeaseRenewalOrder only.
 };
 
-// Sends an order with the leader epoch as its fencing token. The callback runs
-// once, on the thread of the loop, and not inside the call.
+// Sends an order with the leader epoch as its fencing token. `may_send` is
+// asked just before the order is written. The callback runs once, on the thread
+// of the loop, and not inside the call.
 using WorkerCaller = std::function<void(const WorkerOrder& order,
                                         int64_t fence,
+                                        std::function<bool()> may_send,
                                         std::function<void(OrderResponse)>)>;
 
 // Runs a Dispatcher while this instance leads: passes it the state and the
@@ -66,6 +68,7 @@
   void TakeOver();
   void EndLeadership(std::string_view reason);
   void Send(WorkerOrder order);
+  bool StillLeads(int64_t leader_epoch) const;
   void HandleResponse(const WorkerOrder& order,
                       const OrderResponse& response,
                       MonotonicTime sent);
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -22,18 +22,22 @@
 
 constexpr uint64_t kMaximumResponseBytes = uint64_t{4} * 1024 * 1024;
 
-MonotonicTime Now() {
-  return std::chrono::steady_clock::now();
-}
-
-Error CallError(ErrorKind kind,
-                const std::string& address,
-                const error_code& error) {
-  return MakeError(kind,
-                   absl::StrCat("call to ", address, ": ", error.message()),
-                   kind != ErrorKind::kOutcomeUnknown
-                       ? "check that the server is running"
-                       : "look up the outcome before repeating the call");
+http::request<http::string_body> EncodeRequest(const std::string& address,
+                                               const HttpRequest& request) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, address);
+  if (!request.body.empty()) {
+    message.set(http::field::content_type, "application/json");
+  }
+  for (const auto& [name, value] : request.headers) {
+    message.set(name, value);
+  }
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
 }
 
 }  // namespace
@@ -46,12 +50,35 @@
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
-  MonotonicTime idle_since;
   bool used_before = false;
 };
 
+struct AsyncHttpClient::PendingCall {
+  // Deadlines count the time that the process was suspended, so that a request
+  // is not sent after a pause for which its sender could not act.
+  bool MayBeSent() const {
+    return BootTimeNow() < deadline && (!may_send || may_send());
+  }
+  Milliseconds Remaining() const {
+    return std::max(std::chrono::ceil<Milliseconds>(deadline - BootTimeNow()),
+                    Milliseconds(0));
+  }
+
+  std::string address;
+  HttpRequest request;
+  MonotonicTime deadline;
+  SendCheck may_send;
+  Callback callback;
+  ConnectionPool::Number number = 0;
+  std::shared_ptr<Connection> connection;
+  int times_sent = 0;
+};
+
 AsyncHttpClient::AsyncHttpClient(IoLoop* loop, Options options)
-    : loop_(loop), options_(options), alive_(std::make_shared<bool>(true)) {}
+    : loop_(loop),
+      options_(options),
+      alive_(std::make_shared<bool>(true)),
+      pool_(options.connections) {}
 
 AsyncHttpClient::~AsyncHttpClient() {
   *alive_ = false;
@@ -60,138 +87,156 @@
 void AsyncHttpClient::Call(const std::string& address,
                            HttpRequest request,
                            Milliseconds timeout,
+                           SendCheck may_send,
                            Callback callback) {
-  const MonotonicTime deadline = Now() + timeout;
-  auto shared_request = std::make_shared<HttpRequest>(std::move(request));
-  auto shared_callback = std::make_shared<Callback>(std::move(callback));
-  if (const auto idle = TakeIdle(address)) {
-    Exchange(address, idle, std::move(shared_request), deadline,
-             std::move(shared_callback));
-    return;
+  auto call = std::make_shared<PendingCall>();
+  call->address = address;
+  call->request = std::move(request);
+  call->deadline = BootTimeNow() + timeout;
+  call->may_send = std::move(may_send);
+  call->callback = std::move(callback);
+  // Calls that wait already go first.
+  if (waiting_.contains(address) || !Begin(call)) {
+    Wait(call);
   }
-  Connect(address, std::move(shared_request), deadline,
-          std::move(shared_callback));
 }
 
 void AsyncHttpClient::Forget(const std::string& address) {
-  idle_.erase(address);
+  pool_.RemoveIdle(address);
+  CloseRemoved();
 }
 
-std::shared_ptr<AsyncHttpClient::Connection> AsyncHttpClient::TakeIdle(
-    const std::string& address) {
-  const auto found = idle_.find(address);
-  if (found == idle_.end()) {
-    return nullptr;
+bool AsyncHttpClient::Begin(const PendingCallPointer& call) {
+  const auto grant = pool_.Acquire(call->address, BootTimeNow());
+  CloseRemoved();
+  if (!grant) {
+    return false;
   }
-  auto& connections = found->second;
-  const MonotonicTime oldest = Now() - options_.idle_timeout;
-  std::erase_if(connections, [oldest](const auto& connection) {
-    return connection->idle_since < oldest;
-  });
-  if (connections.empty()) {
-    idle_.erase(found);
-    return nullptr;
+  call->number = grant->connection;
+  if (grant->is_new) {
+    Connect(call);
+  } else {
+    call->connection = connections_.at(call->number);
+    Exchange(call);
   }
-  auto connection = std::move(connections.back());
-  connections.pop_back();
-  return connection;
+  return true;
 }
 
-void AsyncHttpClient::Keep(const std::string& address,
-                           std::shared_ptr<Connection> connection) {
-  auto& connections = idle_[address];
-  if (connections.size() >= options_.idle_connections_per_address) {
+void AsyncHttpClient::Wait(const PendingCallPointer& call) {
+  std::deque<PendingCallPointer>& calls = waiting_[call->address];
+  if (calls.size() >= options_.maximum_waiting_calls_per_address) {
+    Fail(call, ErrorKind::kUnavailable, "too many calls wait");
     return;
   }
-  connection->idle_since = Now();
-  connection->used_before = true;
-  connection->stream.expires_never();
-  connections.push_back(std::move(connection));
+  calls.push_back(call);
+  waiting_addresses_.push_back(call->address);
+  ++waiting_calls_;
+  loop_->RunAfter(call->Remaining(), [this, alive = alive_, call] {
+    if (*alive && StopWaiting(call)) {
+      Fail(call, ErrorKind::kUnavailable, "no connection became free");
+    }
+  });
 }
 
-void AsyncHttpClient::Connect(const std::string& address,
-                              std::shared_ptr<HttpRequest> request,
-                              MonotonicTime deadline,
-                              std::shared_ptr<Callback> callback) {
-  const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint) {
-    loop_->Post([callback, error = endpoint.error()] { (*callback)(error); });
-    return;
+bool AsyncHttpClient::StopWaiting(const PendingCallPointer& call) {
+  const auto found = waiting_.find(call->address);
+  if (found == waiting_.end() || std::erase(found->second, call) == 0) {
+    return false;
   }
-  auto connection = std::make_shared<Connection>(loop_);
-  ++connections_opened_;
-  connection->stream.expires_at(
-      std::min(deadline, Now() + options_.connect_timeout));
-  connection->stream.async_connect(
-      endpoint.value(), [this, alive = alive_, address, connection, request,
-                         deadline, callback](error_code error) mutable {
-        if (!*alive) {
-          return;
-        }
-        if (error) {
-          const bool refused = error == boost::asio::error::connection_refused;
-          (*callback)(CallError(
-              refused ? ErrorKind::kNotFound : ErrorKind::kUnavailable, address,
-              error));
-          return;
-        }
-        error_code ignored;  // A delay is no fault.
-        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-        Exchange(address, connection, std::move(request), deadline,
-                 std::move(callback));
-      });
+  --waiting_calls_;
+  if (found->second.empty()) {
+    waiting_.erase(found);
+  }
+  return true;
 }
 
-void AsyncHttpClient::Exchange(const std::string& address,
-                               const std::shared_ptr<Connection>& connection,
-                               std::shared_ptr<HttpRequest> request,
-                               MonotonicTime deadline,
-                               std::shared_ptr<Callback> callback) {
-  http::request<http::string_body>& message = connection->request;
-  message = {};
-  message.version(11);
-  message.method_string(request->method);
-  message.target(request->target);
-  message.set(http::field::host, address);
-  if (!request->body.empty()) {
-    message.set(http::field::content_type, "application/json");
-  }
-  for (const auto& [name, value] : request->headers) {
-    message.set(name, value);
+void AsyncHttpClient::BeginWaiting(const std::string& address) {
+  BeginNext(address);
+  // An address at its own limit is dropped from the list here: the end of one
+  // of its calls begins the next one.
+  while (!waiting_addresses_.empty() && pool_.HasRoom()) {
+    const std::string next = std::move(waiting_addresses_.front());
+    waiting_addresses_.pop_front();
+    BeginNext(next);
   }
-  message.body() = request->body;
-  message.prepare_payload();
-  connection->parser.emplace();
-  connection->parser->body_limit(kMaximumResponseBytes);
-  connection->stream.expires_at(deadline);
-  const auto finish = [this, alive = alive_, address, connection, request,
-                       deadline, callback](error_code error) {
-    if (!*alive) {
+}
+
+void AsyncHttpClient::BeginNext(const std::string& address) {
+  while (true) {
+    const auto found = waiting_.find(address);
+    if (found == waiting_.end()) {
       return;
     }
-    // A server closes an idle connection at any time; the call was not read.
-    const bool stale = connection->used_before &&
-                       error != beast::error::timeout &&
-                       !connection->parser->got_some();
-    if (error && stale) {
-      Connect(address, request, deadline, callback);
+    const PendingCallPointer call = found->second.front();
+    if (call->MayBeSent()) {
+      if (Begin(call)) {
+        StopWaiting(call);
+      }
+      return;
+    }
+    StopWaiting(call);
+    Fail(call, ErrorKind::kUnavailable, "the call may not be sent any more");
+  }
+}
+
+void AsyncHttpClient::Connect(const PendingCallPointer& call) {
+  call->connection = std::make_shared<Connection>(loop_);
+  connections_[call->number] = call->connection;
+  const auto endpoint = ParseTcpEndpoint(call->address);
+  if (!endpoint) {
+    loop_->Post([this, alive = alive_, call, error = endpoint.error()] {
+      if (*alive) {
+        Finish(call, /*reusable=*/false, error);
+      }
+    });
+    return;
+  }
+  ++connections_opened_;
+  beast::tcp_stream& stream = call->connection->stream;
+  stream.expires_after(std::min(call->Remaining(), options_.connect_timeout));
+  stream.async_connect(endpoint.value(), [this, alive = alive_,
+                                          call](error_code error) {
+    if (!*alive) {
       return;
     }
     if (error) {
-      (*callback)(CallError(ErrorKind::kOutcomeUnknown, address, error));
+      const ErrorKind kind = error == boost::asio::error::connection_refused
+                                 ? ErrorKind::kNotFound
+                                 : ErrorKind::kUnavailable;
+      Finish(call, /*reusable=*/false, CallError(*call, kind, error.message()));
       return;
     }
-    auto answer = connection->parser->release();
-    HttpResponse response;
-    response.status = answer.result_int();
-    response.body = std::move(answer.body());
-    if (answer.keep_alive()) {
-      Keep(address, connection);
+    error_code ignored;  // A delay is no fault.
+    call->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    Exchange(call);
+  });
+}
+
+void AsyncHttpClient::Exchange(const PendingCallPointer& call) {
+  if (!call->MayBeSent()) {
+    loop_->Post([this, alive = alive_, call] {
+      if (*alive) {
+        Finish(call, /*reusable=*/true,
+               CallError(*call, ErrorKind::kUnavailable,
+                         "the call may not be sent any more"));
+      }
+    });
+    return;
+  }
+  ++call->times_sent;
+  const std::shared_ptr<Connection> connection = call->connection;
+  connection->request = EncodeRequest(call->address, call->request);
+  connection->parser.emplace();
+  connection->parser->body_limit(kMaximumResponseBytes);
+  connection->stream.expires_after(call->Remaining());
+  const auto finish = [this, alive = alive_, call,
+                       connection](error_code error) {
+    if (*alive) {
+      HandleExchanged(call, error);
     }
-    (*callback)(std::move(response));
   };
   http::async_write(
-      connection->stream, message,
+      connection->stream, connection->request,
       [connection, finish](error_code error, size_t) {
         if (error) {
           finish(error);
@@ -203,4 +248,69 @@
       });
 }
 
+void AsyncHttpClient::HandleExchanged(const PendingCallPointer& call,
+                                      const error_code& error) {
+  Connection& connection = *call->connection;
+  if (!error) {
+    auto message = connection.parser->release();
+    HttpResponse response;
+    response.status = message.result_int();
+    response.body = std::move(message.body());
+    response.sent_twice = call->times_sent > 1;
+    Finish(call, message.keep_alive(), std::move(response));
+    return;
+  }
+  // A server closes an idle connection at any time, mostly without having read
+  // the request.
+  const bool stale = connection.used_before && error != beast::error::timeout &&
+                     !connection.parser->got_some();
+  if (stale) {
+    Connect(call);
+    return;
+  }
+  Finish(call, /*reusable=*/false,
+         CallError(*call, ErrorKind::kOutcomeUnknown, error.message()));
+}
+
+void AsyncHttpClient::Finish(const PendingCallPointer& call,
+                             bool reusable,
+                             Result<HttpResponse> result) {
+  call->connection->used_before = true;
+  call->connection->stream.expires_never();
+  call->connection.reset();
+  pool_.Release(call->number, reusable, BootTimeNow());
+  CloseRemoved();
+  BeginWaiting(call->address);
+  call->callback(std::move(result));
+}
+
+void AsyncHttpClient::Fail(const PendingCallPointer& call,
+                           ErrorKind kind,
+                           std::string_view reason) {
+  loop_->Post([call, error = CallError(*call, kind, reason)] {
+    call->callback(error);
+  });
+}
+
+Error AsyncHttpClient::CallError(const PendingCall& call,
+                                 ErrorKind kind,
+                                 std::string_view reason) {
+  // An earlier copy of the request may have been executed.
+  const ErrorKind known =
+      call.times_sent > 0 ? ErrorKind::kOutcomeUnknown : kind;
+  return MakeError(
+      known,
+      absl::StrCat("call to ", call.address, ": ",
+                   absl::string_view(reason.data(), reason.size())),
+      known != ErrorKind::kOutcomeUnknown
+          ? "check that the server is running"
+          : "look up the outcome before repeating the call");
+}
+
+void AsyncHttpClient::CloseRemoved() {
+  for (const ConnectionPool::Number number : pool_.TakeRemoved()) {
+    connections_.erase(number);
+  }
+}
+
 }  // namespace bramleyrail
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -3,69 +3,104 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
+#include <string_view>
 
+#include "packages/http/connection_pool.h"
 #include "packages/http/http_message.h"
 #include "packages/http/io_loop.h"
 
+namespace boost::system {
+class error_code;
+}  // namespace boost::system
+
 namespace bramleyrail {
 
-// Calls HTTP/1.1 servers on an IoLoop and keeps connections for later calls.
-// All calls from the thread of the loop.
+// Calls HTTP/1.1 servers on an IoLoop over a bounded number of connections,
+// which are kept for later calls. A call waits while the bounds allow no
+// connection. All calls from the thread of the loop.
 class AsyncHttpClient {
  public:
   struct Options {
+    ConnectionPool::Options connections;
     Milliseconds connect_timeout{1'000};
-    // An idle connection is not used any more after this long.
-    Milliseconds idle_timeout{10'000};
-    size_t idle_connections_per_address = 16;
+    // Further calls to an address are refused.
+    size_t maximum_waiting_calls_per_address = 256;
   };
   using Callback = std::function<void(Result<HttpResponse>)>;
+  // Whether the caller may still send the request.
+  using SendCheck = std::function<bool()>;
 
   AsyncHttpClient(IoLoop* loop, Options options);
   ~AsyncHttpClient();
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
 
-  // Calls `address` ("10.0.0.1:8080"). The callback runs once, never inside
-  // Call(): kUnavailable when the request was not sent, kNotFound when moreover
-  // the connection was refused, kOutcomeUnknown when it may have been executed.
-  // A call may be sent twice when a kept connection turns out to be closed, so
-  // it must be idempotent.
+  // Calls `address` ("10.0.0.1:8080"). `may_send` runs just before the request
+  // is written, which may be long after Call(). The callback runs once, never
+  // inside Call(): kUnavailable when the request was not sent, kNotFound when
+  // moreover the connection was refused, kOutcomeUnknown when it may have been
+  // executed. A call may be sent twice when a kept connection turns out to be
+  // closed, so it must be idempotent; HttpResponse::sent_twice tells.
   void Call(const std::string& address,
             HttpRequest request,
             Milliseconds timeout,
+            SendCheck may_send,
             Callback callback);
 
   // Closes idle connections to an address that is no longer used.
   void Forget(const std::string& address);
 
   uint64_t connections_opened() const { return connections_opened_; }
+  size_t open_connections() const { return pool_.size(); }
+  size_t waiting_calls() const { return waiting_calls_; }
 
  private:
   class Connection;
+  struct PendingCall;
+  using PendingCallPointer = std::shared_ptr<PendingCall>;
+
+  // Returns false when the bounds allow no connection.
+  bool Begin(const PendingCallPointer& call);
+  void Connect(const PendingCallPointer& call);
+  void Exchange(const PendingCallPointer& call);
+  void HandleExchanged(const PendingCallPointer& call,
+                       const boost::system::error_code& error);
+  // Ends the use of the call's connection and reports the result.
+  void Finish(const PendingCallPointer& call,
+              bool reusable,
+              Result<HttpResponse> result);
+  // Reports the failure of a call without a connection.
+  void Fail(const PendingCallPointer& call,
+            ErrorKind kind,
+            std::string_view reason);
+  static Error CallError(const PendingCall& call,
+                         ErrorKind kind,
+                         std::string_view reason);
+  void CloseRemoved();
 
-  std::shared_ptr<Connection> TakeIdle(const std::string& address);
-  void Keep(const std::string& address, std::shared_ptr<Connection> connection);
-  void Connect(const std::string& address,
-               std::shared_ptr<HttpRequest> request,
-               MonotonicTime deadline,
-               std::shared_ptr<Callback> callback);
-  void Exchange(const std::string& address,
-                const std::shared_ptr<Connection>& connection,
-                std::shared_ptr<HttpRequest> request,
-                MonotonicTime deadline,
-                std::shared_ptr<Callback> callback);
+  void Wait(const PendingCallPointer& call);
+  // Returns false when the call does not wait.
+  bool StopWaiting(const PendingCallPointer& call);
+  // Begins waiting calls as far as the bounds allow, first one to the address.
+  void BeginWaiting(const std::string& address);
+  void BeginNext(const std::string& address);
 
   IoLoop* const loop_;
   const Options options_;
   // Expires with the client; pending operations check it.
   std::shared_ptr<bool> alive_;
-  std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
+  ConnectionPool pool_;
+  std::map<ConnectionPool::Number, std::shared_ptr<Connection>> connections_;
+  // Calls without a connection, by address, and the addresses in the order of
+  // their calls. An address stands there once for each call that had to wait.
+  std::map<std::string, std::deque<PendingCallPointer>> waiting_;
+  std::deque<std::string> waiting_addresses_;
+  size_t waiting_calls_ = 0;
   uint64_t connections_opened_ = 0;
 };
 
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -1,6 +1,12 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/blocking_counter.h"
 #include "absl/synchronization/notification.h"
 #include "packages/http/http.h"
 
@@ -13,8 +19,9 @@
 // A server and a client on one loop with a thread of its own.
 class LoopWithServer {
  public:
-  explicit LoopWithServer(HttpHandler handler)
-      : loop_(IoLoop::Create()), client_(loop_.get(), {}) {
+  explicit LoopWithServer(HttpHandler handler,
+                          AsyncHttpClient::Options options = {})
+      : loop_(IoLoop::Create()), client_(loop_.get(), options) {
     server_ =
         AsyncHttpServer::Create(
             loop_.get(), {.address = "127.0.0.1:0", .maximum_body_bytes = 100},
@@ -30,12 +37,14 @@
 
   Result<HttpResponse> Call(HttpRequest request,
                             Milliseconds timeout,
-                            std::string address = "") {
+                            std::string address = "",
+                            AsyncHttpClient::SendCheck may_send = nullptr) {
     absl::Notification done;
     Result<HttpResponse> result = HttpResponse();
     loop_->Post([&] {
       client_.Call(address.empty() ? address_ : address, std::move(request),
-                   timeout, [&](Result<HttpResponse> answer) {
+                   timeout, std::move(may_send),
+                   [&](Result<HttpResponse> answer) {
                      result = std::move(answer);
                      done.Notify();
                    });
@@ -44,6 +53,25 @@
     return result;
   }
 
+  // Calls the server `count` times at once and returns the results.
+  std::vector<Result<HttpResponse>> CallTogether(int count,
+                                                 Milliseconds timeout) {
+    absl::BlockingCounter open(count);
+    std::vector<Result<HttpResponse>> results;
+    loop_->Post([&] {
+      for (int call = 0; call < count; ++call) {
+        client_.Call(address_, {"POST", "/path", {}, "x"}, timeout, nullptr,
+                     [&](Result<HttpResponse> answer) {
+                       results.push_back(std::move(answer));
+                       open.DecrementCount();
+                     });
+      }
+    });
+    open.Wait();
+    return results;
+  }
+
+  IoLoop* loop() { return loop_.get(); }
   AsyncHttpClient& client() { return client_; }
 
  private:
@@ -54,6 +82,71 @@
   std::thread thread_;
 };
 
+// A server of few words: answers the first request of its first connection, and
+// then reads another one and closes the connection without an answer.
+class ServerThatClosesSilently {
+ public:
+  enum class Then { kStopListening, kAnswer };
+
+  explicit ServerThatClosesSilently(Then then) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    listen(listener_, 8);
+    socklen_t size = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+    thread_ = std::thread([this, then] { Serve(then); });
+  }
+  ~ServerThatClosesSilently() { thread_.join(); }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  static void ReadRequest(int connection) {
+    char buffer[4'096];
+    std::string text;
+    while (!text.ends_with("x")) {  // The body.
+      const ssize_t count = read(connection, buffer, sizeof(buffer));
+      if (count <= 0) {
+        return;
+      }
+      text.append(buffer, static_cast<size_t>(count));
+    }
+  }
+
+  static void Answer(int connection) {
+    constexpr std::string_view kResponse =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    if (write(connection, kResponse.data(), kResponse.size()) < 0) {
+      perror("write");
+    }
+  }
+
+  void Serve(Then then) const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    ReadRequest(connection);
+    Answer(connection);
+    ReadRequest(connection);
+    if (then == Then::kStopListening) {
+      close(listener_);
+      close(connection);
+      return;
+    }
+    close(connection);
+    const int next = accept(listener_, nullptr, nullptr);
+    ReadRequest(next);
+    Answer(next);
+    close(next);
+    close(listener_);
+  }
+
+  const int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+  std::string address_;
+  std::thread thread_;
+};
+
 HttpRequest Post(std::string body) {
   return {"POST", "/path", {}, std::move(body)};
 }
@@ -93,6 +186,98 @@
   CHECK(answer.error().kind == ErrorKind::kNotFound);
 }
 
+// A kept connection ended without a byte, the next one was refused, and the
+// call was reported as not sent: a task that the worker had started was started
+// again elsewhere.
+TEST(AsyncHttp, SilentEndOfAKeptConnectionLeavesTheOutcomeUnknown) {
+  LoopWithServer loop([](const HttpRequest&, const HttpResponder&) {});
+  const ServerThatClosesSilently server(
+      ServerThatClosesSilently::Then::kStopListening);
+  CHECK(
+      loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
+  const auto answer =
+      loop.Call(Post("x"), Milliseconds(5'000), server.address());
+  CHECK(!answer);
+  CHECK(answer.error().kind == ErrorKind::kOutcomeUnknown);
+}
+
+// Guards against a rejection of the second copy that is taken for a rejection
+// of the first one.
+TEST(AsyncHttp, ResponseToASecondCopyIsMarked) {
+  LoopWithServer loop([](const HttpRequest&, const HttpResponder&) {});
+  const ServerThatClosesSilently server(
+      ServerThatClosesSilently::Then::kAnswer);
+  const auto first =
+      loop.Call(Post("x"), Milliseconds(5'000), server.address());
+  CHECK(first.has_value());
+  CHECK(!first.value().sent_twice);
+  const auto second =
+      loop.Call(Post("x"), Milliseconds(5'000), server.address());
+  CHECK(second.has_value());
+  CHECK(second.value().sent_twice);
+}
+
+// Guards against a connection for each of many calls at once, which used up the
+// descriptors of the process.
+TEST(AsyncHttp, CallsBeyondTheLimitWaitForAConnection) {
+  size_t open = 0;
+  size_t most = 0;
+  IoLoop* loop_pointer = nullptr;
+  AsyncHttpClient::Options options;
+  options.connections.maximum_connections_per_address = 3;
+  LoopWithServer loop(
+      [&](const HttpRequest&, const HttpResponder& respond) {
+        most = std::max(most, ++open);
+        loop_pointer->RunAfter(Milliseconds(2), [&open, respond] {
+          --open;
+          respond({});
+        });
+      },
+      options);
+  loop_pointer = loop.loop();
+  for (const auto& answer : loop.CallTogether(40, Milliseconds(10'000))) {
+    CHECK(answer.has_value());
+  }
+  LONGS_EQUAL(3, most);
+  LONGS_EQUAL(3, loop.client().connections_opened());
+}
+
+// Guards against a call that is sent, or counts as possibly executed, after it
+// had waited for its whole time.
+TEST(AsyncHttp, CallThatWaitedTooLongIsNotSent) {
+  std::vector<HttpResponder> kept;
+  AsyncHttpClient::Options options;
+  options.connections.maximum_connections_per_address = 1;
+  LoopWithServer loop(
+      [&kept](const HttpRequest&, HttpResponder respond) {
+        kept.push_back(std::move(respond));
+      },
+      options);
+  int not_sent = 0;
+  for (const auto& answer : loop.CallTogether(4, Milliseconds(60))) {
+    CHECK(!answer);
+    not_sent += answer.error().kind == ErrorKind::kUnavailable ? 1 : 0;
+  }
+  LONGS_EQUAL(3, not_sent);
+  LONGS_EQUAL(1, kept.size());
+}
+
+// Guards against an order of an instance that stopped leading while the order
+// waited or the process was suspended.
+TEST(AsyncHttp, CallIsNotSentWithoutPermission) {
+  int received = 0;
+  LoopWithServer loop(
+      [&received](const HttpRequest&, const HttpResponder& respond) {
+        ++received;
+        respond({});
+      });
+  const auto answer =
+      loop.Call(Post("x"), Milliseconds(5'000), "", [] { return false; });
+  CHECK(!answer);
+  CHECK(answer.error().kind == ErrorKind::kUnavailable);
+  LONGS_EQUAL(0, received);
+}
+
 // Guards against memory that a large body takes.
 TEST(AsyncHttp, LargeBodyIsRefused) {
   LoopWithServer loop(
