Bramleyraild, Http: Divide the descriptors of a control instance

Cause: nothing limited the descriptors that each part of a control instance used. A burst of orders took those of workers' heartbeats, of peers and of files.

Change: DescriptorBudget divides what the process may open, by the setting maximum_descriptors and the limit of the machine, among files, peers, the server and orders. A full server closes the connection that is idle for longest to take a new one, so a worker's report is not refused for others' idle connections. Metrics show each part beside its limit, and a log line the parts at the start.

--- a/packages/bramleyraild/bramleyraild_events.h
+++ b/packages/bramleyraild/bramleyraild_events.h
@@ -21,6 +21,8 @@
     8007, LogSeverity::kWarning, "worker_report_dropped"};
 inline constexpr LogEventDefinition kSettingsReloaded{8008, LogSeverity::kInfo,
                                                       "settings_reloaded"};
+inline constexpr LogEventDefinition kDescriptorsDivided{
+    8009, LogSeverity::kInfo, "descriptors_divided"};
 
 }  // namespace bramleyrail
 
--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -4,6 +4,7 @@
 
 #include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/control_network.h"
+#include "packages/bramleyraild/descriptor_budget.h"
 #include "packages/bramleyraild/role_instance.h"
 #include "packages/bramleyraild/role_metrics.h"
 
@@ -25,12 +26,16 @@
 
 class ControlInstance final : public RoleInstance {
  public:
-  ControlInstance(RoleSettings settings, PlatformHooks hooks)
+  ControlInstance(RoleSettings settings,
+                  DescriptorBudget descriptors,
+                  PlatformHooks hooks)
       : settings_(std::move(settings)),
+        descriptors_(descriptors),
         hooks_(std::move(hooks)),
         own_name_(ControlInstanceName(settings_.address)),
         loop_(IoLoop::Create()),
-        client_(loop_.get(), {}) {}
+        client_(loop_.get(),
+                {.connections = {.maximum_connections = descriptors.orders}}) {}
 
   ~ControlInstance() override {
     if (network_ != nullptr) {
@@ -46,14 +51,16 @@
   }
 
   Result<void> Start() {
-    TRY(network, ControlNetwork::Create(settings_));
+    TRY(network, ControlNetwork::Create(settings_, descriptors_.peers));
     network_ = std::move(network);
     TRY(CreateQueue());
     CreateService();
     relay_ = std::make_unique<LeaderRelay>(
         loop_.get(), network_->RelayOptions(RelayOrigin::kOperatorOrWorker));
     TRY(control, AsyncHttpServer::Create(
-                     loop_.get(), {.address = settings_.control_address},
+                     loop_.get(),
+                     {.address = settings_.control_address,
+                      .maximum_connections = descriptors_.server},
                      [this](HttpRequest request, HttpResponder respond) {
                        HandleControl(std::move(request), std::move(respond));
                      }));
@@ -207,6 +214,21 @@
         {"control_open_requests",
          {},
          static_cast<double>(control_->open_requests())},
+        {"control_connections",
+         {},
+         static_cast<double>(control_->open_connections())},
+        {"control_connections_limit",
+         {},
+         static_cast<double>(descriptors_.server)},
+        {"worker_connections",
+         {},
+         static_cast<double>(client_.open_connections())},
+        {"worker_connections_limit",
+         {},
+         static_cast<double>(descriptors_.orders)},
+        {"worker_calls_waiting",
+         {},
+         static_cast<double>(client_.waiting_calls())},
         {"worker_connections_opened_total",
          {},
          static_cast<double>(client_.connections_opened())}};
@@ -242,6 +264,7 @@
   }
 
   const RoleSettings settings_;
+  const DescriptorBudget descriptors_;
   const PlatformHooks hooks_;
   const std::string own_name_;
   const std::unique_ptr<IoLoop> loop_;
@@ -263,8 +286,14 @@
 Result<std::unique_ptr<RoleInstance>> StartControlInstance(
     RoleSettings settings,
     PlatformHooks hooks) {
-  auto instance =
-      std::make_unique<ControlInstance>(std::move(settings), std::move(hooks));
+  const int64_t usable = UsableDescriptors(settings.maximum_descriptors);
+  TRY(descriptors, DescriptorBudget::Create(usable));
+  LogEvent(kDescriptorsDivided, {{"usable", usable},
+                                 {"peers", descriptors.peers},
+                                 {"server", descriptors.server},
+                                 {"orders", descriptors.orders}});
+  auto instance = std::make_unique<ControlInstance>(
+      std::move(settings), descriptors, std::move(hooks));
   TRY(instance->Start());
   return std::unique_ptr<RoleInstance>(std::move(instance));
 }
--- a/packages/bramleyraild/control_network.cc
+++ b/packages/bramleyraild/control_network.cc
@@ -22,13 +22,15 @@
       port_(static_cast<uint16_t>(settings.peer_port)) {}
 
 Result<std::unique_ptr<ControlNetwork>> ControlNetwork::Create(
-    const RoleSettings& settings) {
+    const RoleSettings& settings,
+    size_t maximum_accepted_connections) {
   std::unique_ptr<ControlNetwork> network(new ControlNetwork(settings));
   ControlNetwork* self = network.get();
   PeerNetwork::Options options;
   options.cluster_id = kClusterId;
   options.self = {self->own_name_, settings.failure_domain, settings.region};
   options.listen_address = {settings.address, self->port_};
+  options.maximum_accepted_connections = maximum_accepted_connections;
   for (const std::string& ip : settings.control_instances) {
     const std::string name = ControlInstanceName(ip);
     absl::MutexLock lock(&self->mutex_);
--- a/packages/bramleyraild/control_network.h
+++ b/packages/bramleyraild/control_network.h
@@ -1,6 +1,7 @@
 #ifndef PACKAGES_BRAMLEYRAILD_CONTROL_NETWORK_H_
 #define PACKAGES_BRAMLEYRAILD_CONTROL_NETWORK_H_
 
+#include <cstddef>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,7 +22,8 @@
 class ControlNetwork {
  public:
   static Result<std::unique_ptr<ControlNetwork>> Create(
-      const RoleSettings& settings);
+      const RoleSettings& settings,
+      size_t maximum_accepted_connections);
 
   PeerNetwork& network() { return *network_; }
   // Names of the other control instances that are known.
--- /dev/null
+++ b/packages/bramleyraild/descriptor_budget.cc
@@ -0,0 +1,52 @@
+#include "packages/bramleyraild/descriptor_budget.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace bramleyrail {
+
+namespace {
+
+// Data files, the log, listening sockets and what libraries open. The users'
+// platform keeps 200 of a process's descriptors for files.
+constexpr int64_t kReservedDescriptors = 256;
+constexpr int64_t kMinimumDescriptors = 512;
+// Shares of the rest, in percent. A leader needs a connection for the lease
+// renewals of each worker and another one for orders; a worker's heartbeats use
+// one more, and at most one for each other instance.
+constexpr int64_t kPeersPercent = 14;
+constexpr int64_t kServerPercent = 30;
+
+}  // namespace
+
+Result<DescriptorBudget> DescriptorBudget::Create(int64_t maximum_descriptors) {
+  if (maximum_descriptors < kMinimumDescriptors) {
+    return MakeInvalidArgument(
+        "the process may open too few descriptors",
+        {{"maximum_descriptors",
+          absl::StrCat("must be at least ", kMinimumDescriptors, ", not ",
+                       maximum_descriptors,
+                       "; the limit of the machine (ulimit -n) counts too")}});
+  }
+  const int64_t rest = maximum_descriptors - kReservedDescriptors;
+  DescriptorBudget budget;
+  budget.peers = static_cast<size_t>(rest * kPeersPercent / 100);
+  budget.server = static_cast<size_t>(rest * kServerPercent / 100);
+  budget.orders = static_cast<size_t>(rest) - budget.peers - budget.server;
+  return budget;
+}
+
+int64_t UsableDescriptors(int64_t configured) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return configured;
+  }
+  const auto allowed = static_cast<int64_t>(limit.rlim_cur);
+  return configured == 0 ? allowed : std::min(configured, allowed);
+}
+
+}  // namespace bramleyrail
--- /dev/null
+++ b/packages/bramleyraild/descriptor_budget.h
@@ -0,0 +1,29 @@
+#ifndef PACKAGES_BRAMLEYRAILD_DESCRIPTOR_BUDGET_H_
+#define PACKAGES_BRAMLEYRAILD_DESCRIPTOR_BUDGET_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "packages/base/base.h"
+
+namespace bramleyrail {
+
+// How many descriptors each part of a control instance may use, so that no part
+// takes those of another one.
+struct DescriptorBudget {
+  size_t peers = 0;   // Accepted connections of other instances.
+  size_t server = 0;  // Connections of workers' heartbeats and of operators.
+  size_t orders = 0;  // Connections to workers.
+
+  // Divides the descriptors that the process may use. kInvalidArgument when
+  // there are too few to run with.
+  static Result<DescriptorBudget> Create(int64_t maximum_descriptors);
+};
+
+// The descriptors that the process may open, by the limit of the machine and by
+// the settings; a setting of 0 names none.
+int64_t UsableDescriptors(int64_t configured);
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_BRAMLEYRAILD_DESCRIPTOR_BUDGET_H_
--- a/packages/bramleyraild/gateway_instance.cc
+++ b/packages/bramleyraild/gateway_instance.cc
@@ -21,6 +21,8 @@
 // new connections elsewhere.
 constexpr Milliseconds kLeaveRotation{2'500};
 constexpr Milliseconds kStopPoll{20};
+// Only control instances dial a gateway.
+constexpr size_t kMaximumPeers = 64;
 // Left of the stop deadline for ending the process.
 constexpr Milliseconds kStopReserve{700};
 
@@ -42,7 +44,7 @@
   }
 
   Result<void> Start() {
-    TRY(network, ControlNetwork::Create(settings_));
+    TRY(network, ControlNetwork::Create(settings_, kMaximumPeers));
     network_ = std::move(network);
     relay_ = std::make_unique<LeaderRelay>(
         loop_.get(), network_->RelayOptions(RelayOrigin::kCaller));
--- a/packages/bramleyraild/role_settings.cc
+++ b/packages/bramleyraild/role_settings.cc
@@ -17,6 +17,8 @@
 constexpr JsonReader::IntegerRange kPortRange{.minimum = 1, .maximum = 65535};
 // More losses than this need more voters than a commit should wait for.
 constexpr JsonReader::IntegerRange kToleratedRange{.minimum = 0, .maximum = 4};
+constexpr JsonReader::IntegerRange kDescriptorRange{.minimum = 512,
+                                                    .maximum = 1'000'000};
 constexpr JsonReader::IntegerRange kDurationRange{.minimum = 1,
                                                   .maximum = 3'600'000};
 
@@ -163,6 +165,10 @@
   settings.tolerated_losses =
       reader.Integer("tolerated_losses", Presence::kOptional, kToleratedRange)
           .value_or(settings.tolerated_losses);
+  settings.maximum_descriptors =
+      reader
+          .Integer("maximum_descriptors", Presence::kOptional, kDescriptorRange)
+          .value_or(settings.maximum_descriptors);
   settings.log.stream = LogStream::kStandardOutput;
   reader.RefuseUnknownFields();
   if (!faults.empty()) {
--- a/packages/bramleyraild/role_settings.h
+++ b/packages/bramleyraild/role_settings.h
@@ -40,6 +40,8 @@
   Milliseconds job_retention{120'000};
   // Control instances that may be lost at the same time, with their disks.
   int64_t tolerated_losses = 1;
+  // Descriptors that the process may open; 0: as many as the machine allows.
+  int64_t maximum_descriptors = 0;
   LogOptions log;
 };
 
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -69,7 +69,7 @@
   MonotonicTime deadline;
   SendCheck may_send;
   Callback callback;
-  ConnectionPool::Number number = 0;
+  HttpConnectionPool::Number number = 0;
   std::shared_ptr<Connection> connection;
   int times_sent = 0;
 };
@@ -308,7 +308,7 @@
 }
 
 void AsyncHttpClient::CloseRemoved() {
-  for (const ConnectionPool::Number number : pool_.TakeRemoved()) {
+  for (const HttpConnectionPool::Number number : pool_.TakeRemoved()) {
     connections_.erase(number);
   }
 }
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "packages/http/connection_pool.h"
+#include "packages/http/http_connection_pool.h"
 #include "packages/http/http_message.h"
 #include "packages/http/io_loop.h"
 
@@ -26,7 +26,7 @@
 class AsyncHttpClient {
  public:
   struct Options {
-    ConnectionPool::Options connections;
+    HttpConnectionPool::Options connections;
     Milliseconds connect_timeout{1'000};
     // Further calls to an address are refused.
     size_t maximum_waiting_calls_per_address = 256;
@@ -94,8 +94,9 @@
   const Options options_;
   // Expires with the client; pending operations check it.
   std::shared_ptr<bool> alive_;
-  ConnectionPool pool_;
-  std::map<ConnectionPool::Number, std::shared_ptr<Connection>> connections_;
+  HttpConnectionPool pool_;
+  std::map<HttpConnectionPool::Number, std::shared_ptr<Connection>>
+      connections_;
   // Calls without a connection, by address, and the addresses in the order of
   // their calls. An address stands there once for each call that had to wait.
   std::map<std::string, std::deque<PendingCallPointer>> waiting_;
--- a/packages/http/async_http_server.cc
+++ b/packages/http/async_http_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 #include <optional>
 #include <utility>
 
@@ -73,6 +74,7 @@
   bool draining() const { return draining_; }
   void BeginDrain() { draining_ = true; }
   size_t open_requests() const { return open_requests_; }
+  size_t open_connections() const { return connections_; }
   uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -80,6 +82,8 @@
   friend class Session;
 
   void Accept();
+  // Returns false when no connection is idle.
+  bool CloseLongestIdle();
 
   const Options options_;
   const HttpHandler handler_;
@@ -88,6 +92,8 @@
   bool draining_ = false;
   size_t open_requests_ = 0;
   size_t connections_ = 0;
+  // Sessions that wait for a request, the longest idle one first.
+  std::list<Session*> idle_;
 };
 
 // One connection; requests are answered one after the other.
@@ -98,9 +104,13 @@
       : stream_(std::move(socket)), server_(std::move(server)) {
     ++server_->connections_;
   }
-  ~Session() { --server_->connections_; }
+  ~Session() {
+    --server_->connections_;
+    MarkBusy();
+  }
 
   void Read() {
+    idle_position_ = server_->idle_.insert(server_->idle_.end(), this);
     parser_.emplace();
     parser_->body_limit(server_->options_.maximum_body_bytes);
     parser_->header_limit(server_->options_.maximum_header_bytes);
@@ -110,7 +120,21 @@
                          error_code error, size_t) { self->Handle(error); });
   }
 
+  // Ends the session, unless a request has arrived meanwhile.
+  void CloseIdle() {
+    MarkBusy();
+    error_code ignored;  // The descriptor is released in any case.
+    stream_.socket().close(ignored);
+  }
+
  private:
+  void MarkBusy() {
+    if (idle_position_) {
+      server_->idle_.erase(*idle_position_);
+      idle_position_.reset();
+    }
+  }
+
   // Ends the request when its handler drops the responder.
   struct OpenRequest {
     explicit OpenRequest(std::shared_ptr<Session> owner)
@@ -126,6 +150,7 @@
   };
 
   void Handle(error_code error) {
+    MarkBusy();
     if (error) {
       RefuseUnreadable(error);
       return;
@@ -196,8 +221,17 @@
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   bool keep_alive_ = true;
+  std::optional<std::list<Session*>::iterator> idle_position_;
 };
 
+bool AsyncHttpServer::Acceptor::CloseLongestIdle() {
+  if (idle_.empty()) {
+    return false;
+  }
+  idle_.front()->CloseIdle();
+  return true;
+}
+
 void AsyncHttpServer::Acceptor::Accept() {
   acceptor_.async_accept([self = shared_from_this()](error_code error,
                                                      tcp::socket socket) {
@@ -210,7 +244,8 @@
       self->loop_->RunAfter(kAcceptPause, [self] { self->Accept(); });
       return;
     }
-    if (self->connections_ >= self->options_.maximum_connections) {
+    if (self->connections_ >= self->options_.maximum_connections &&
+        !self->CloseLongestIdle()) {
       LogEvent(kHttpAcceptFailed,
                {{"address", self->options_.address},
                 {"error", std::string_view("too many connections are open")}});
@@ -247,6 +282,10 @@
   return acceptor_->open_requests();
 }
 
+size_t AsyncHttpServer::open_connections() const {
+  return acceptor_->open_connections();
+}
+
 uint16_t AsyncHttpServer::port() const {
   return acceptor_->port();
 }
--- a/packages/http/async_http_server.h
+++ b/packages/http/async_http_server.h
@@ -21,6 +21,8 @@
     uint32_t maximum_header_bytes = 16 * 1024;
     // A connection without a request for this long is closed.
     Milliseconds idle_timeout{60'000};
+    // A further connection takes the place of the one that is idle for
+    // longest, and is closed when none is idle.
     size_t maximum_connections = 2'000;
   };
 
@@ -34,6 +36,7 @@
   void BeginDrain();
   // Requests that were read and are not answered yet.
   size_t open_requests() const;
+  size_t open_connections() const;
   uint16_t port() const;
 
  private:
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -7,8 +7,8 @@
 #include "packages/http/async_http_client.h"
 #include "packages/http/async_http_server.h"
 #include "packages/http/bounded_task_queue.h"
-#include "packages/http/connection_pool.h"
 #include "packages/http/exclusive_port.h"
+#include "packages/http/http_connection_pool.h"
 #include "packages/http/http_message.h"
 #include "packages/http/io_loop.h"
 
--- a/packages/http/connection_pool.cc
+++ b/packages/http/http_connection_pool.cc
@@ -1,10 +1,10 @@
-#include "packages/http/connection_pool.h"
+#include "packages/http/http_connection_pool.h"
 
 #include <algorithm>
 
 namespace bramleyrail {
 
-std::optional<ConnectionPool::Grant> ConnectionPool::Acquire(
+std::optional<HttpConnectionPool::Grant> HttpConnectionPool::Acquire(
     const std::string& address,
     MonotonicTime now) {
   RemoveExpired(now);
@@ -35,7 +35,9 @@
   return Grant{number, true};
 }
 
-void ConnectionPool::Release(Number number, bool reusable, MonotonicTime now) {
+void HttpConnectionPool::Release(Number number,
+                                 bool reusable,
+                                 MonotonicTime now) {
   Connection& connection = connections_.at(number);
   connection.idle_since = now;
   idle_by_age_.emplace(now, number);
@@ -45,7 +47,7 @@
   }
 }
 
-void ConnectionPool::RemoveIdle(const std::string& address) {
+void HttpConnectionPool::RemoveIdle(const std::string& address) {
   const auto found = addresses_.find(address);
   if (found == addresses_.end()) {
     return;
@@ -56,14 +58,14 @@
   }
 }
 
-void ConnectionPool::RemoveExpired(MonotonicTime now) {
+void HttpConnectionPool::RemoveExpired(MonotonicTime now) {
   while (!idle_by_age_.empty() &&
          idle_by_age_.begin()->first + options_.idle_timeout < now) {
     Remove(idle_by_age_.begin()->second);
   }
 }
 
-void ConnectionPool::Remove(Number number) {
+void HttpConnectionPool::Remove(Number number) {
   const auto found = connections_.find(number);
   const Connection& connection = found->second;
   const auto address = addresses_.find(connection.address);
--- a/packages/http/connection_pool.h
+++ b/packages/http/http_connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_HTTP_CONNECTION_POOL_H_
-#define PACKAGES_HTTP_CONNECTION_POOL_H_
+#ifndef PACKAGES_HTTP_HTTP_CONNECTION_POOL_H_
+#define PACKAGES_HTTP_HTTP_CONNECTION_POOL_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -16,7 +16,7 @@
 
 // Decides which connections a client opens, reuses and closes, so that all
 // connections together stay within a limit. Knows connections by number only.
-class ConnectionPool {
+class HttpConnectionPool {
  public:
   struct Options {
     // Of all addresses together, open and idle ones.
@@ -32,7 +32,7 @@
     bool is_new = false;  // The owner has to open it.
   };
 
-  explicit ConnectionPool(Options options) : options_(options) {}
+  explicit HttpConnectionPool(Options options) : options_(options) {}
 
   // Returns a connection for one call, or nullopt when the limits allow none
   // until another call ends. Prefers the most recently used idle connection.
@@ -74,4 +74,4 @@
 
 }  // namespace bramleyrail
 
-#endif  // PACKAGES_HTTP_CONNECTION_POOL_H_
+#endif  // PACKAGES_HTTP_HTTP_CONNECTION_POOL_H_
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -278,6 +278,37 @@
   LONGS_EQUAL(0, received);
 }
 
+// Guards against workers that can't report any more, because idle connections
+// of others fill the server.
+TEST(AsyncHttp, FullServerClosesAnIdleConnectionForANewOne) {
+  const auto loop = IoLoop::Create();
+  const auto server =
+      AsyncHttpServer::Create(
+          loop.get(), {.address = "127.0.0.1:0", .maximum_connections = 2},
+          [](const HttpRequest&, const HttpResponder& respond) { respond({}); })
+          .value();
+  std::thread thread([&loop] { loop->Run(); });
+  const std::string address = absl::StrCat("127.0.0.1:", server->port());
+  std::vector<std::unique_ptr<AsyncHttpClient>> clients;
+  for (int client = 0; client < 5; ++client) {
+    clients.push_back(std::make_unique<AsyncHttpClient>(
+        loop.get(), AsyncHttpClient::Options()));
+    absl::Notification done;
+    bool served = false;
+    loop->Post([&] {
+      clients.back()->Call(address, Post("x"), Milliseconds(5'000), nullptr,
+                           [&](const Result<HttpResponse>& answer) {
+                             served = answer.has_value();
+                             done.Notify();
+                           });
+    });
+    done.WaitForNotification();
+    CHECK(served);
+  }
+  loop->Stop();
+  thread.join();
+}
+
 // Guards against memory that a large body takes.
 TEST(AsyncHttp, LargeBodyIsRefused) {
   LoopWithServer loop(
--- a/packages/http/tests/connection_pool_test.cc
+++ b/packages/http/tests/http_connection_pool_test.cc
@@ -17,18 +17,18 @@
   return absl::StrCat("10.0.0.1:", number + 1'000);
 }
 
-TEST_GROUP(ConnectionPool) {
+TEST_GROUP(HttpConnectionPool) {
   MonotonicTime now_{std::chrono::hours(1)};
 };
 
 // Pattern: a burst of wide jobs on a large fleet. Several orders are due at
 // once for every worker, and each of them opened a connection that was kept:
 // the leader ran out of descriptors.
-TEST(ConnectionPool, BurstOfOrdersToAllWorkersStaysWithinTheLimit) {
-  ConnectionPool pool(
+TEST(HttpConnectionPool, BurstOfOrdersToAllWorkersStaysWithinTheLimit) {
+  HttpConnectionPool pool(
       {.maximum_connections = 2'200, .maximum_connections_per_address = 8});
   size_t begun = 0;
-  std::vector<ConnectionPool::Number> used;
+  std::vector<HttpConnectionPool::Number> used;
   for (int order = 0; order < 8; ++order) {
     for (size_t worker = 0; worker < kWorkers; ++worker) {
       if (const auto grant = pool.Acquire(WorkerName(worker), now_)) {
@@ -51,8 +51,8 @@
 
 // Guards against idle connections to some workers that keep others from being
 // reached.
-TEST(ConnectionPool, FullPoolClosesTheConnectionThatIsIdleForLongest) {
-  ConnectionPool pool({.maximum_connections = 2});
+TEST(HttpConnectionPool, FullPoolClosesTheConnectionThatIsIdleForLongest) {
+  HttpConnectionPool pool({.maximum_connections = 2});
   const auto first = pool.Acquire("a", now_);
   const auto second = pool.Acquire("b", now_);
   CHECK(!pool.Acquire("c", now_).has_value());
@@ -67,8 +67,8 @@
 }
 
 // Guards against connections that stay open after their worker has left.
-TEST(ConnectionPool, IdleConnectionsOfAnyAddressExpire) {
-  ConnectionPool pool({.idle_timeout = Milliseconds(1'000)});
+TEST(HttpConnectionPool, IdleConnectionsOfAnyAddressExpire) {
+  HttpConnectionPool pool({.idle_timeout = Milliseconds(1'000)});
   pool.Release(pool.Acquire("gone", now_)->connection, true, now_);
   pool.Acquire("other", now_ + Milliseconds(1'001));
   LONGS_EQUAL(1, pool.TakeRemoved().size());
@@ -77,14 +77,14 @@
 
 // Any sequence of calls keeps the limits, hands out no connection twice, and
 // reports each removed connection once.
-TEST(ConnectionPool, AnySequenceOfCallsKeepsTheLimits) {
+TEST(HttpConnectionPool, AnySequenceOfCallsKeepsTheLimits) {
   CHECK(rc::check("limits", [this] {
     const auto total = *rc::gen::inRange<size_t>(1, 8);
     const auto each = *rc::gen::inRange<size_t>(1, 4);
-    ConnectionPool pool({.maximum_connections = total,
-                         .maximum_connections_per_address = each,
-                         .idle_timeout = Milliseconds(20)});
-    std::map<ConnectionPool::Number, std::string> in_use;
+    HttpConnectionPool pool({.maximum_connections = total,
+                             .maximum_connections_per_address = each,
+                             .idle_timeout = Milliseconds(20)});
+    std::map<HttpConnectionPool::Number, std::string> in_use;
     size_t created = 0;
     size_t removed = 0;
     MonotonicTime now = now_;
--- a/packages/peer/peer_limits.h
+++ b/packages/peer/peer_limits.h
@@ -22,8 +22,6 @@
 inline constexpr size_t kMaximumQueuedFrames = 8192;
 // Calls of one peer that wait for an answer.
 inline constexpr size_t kMaximumCallsInProgress = 16384;
-// Accepted connections, including those that have not sent a hello yet.
-inline constexpr size_t kMaximumAcceptedConnections = 256;
 
 inline constexpr Milliseconds kPeerHeartbeatInterval{500};
 // A connection on which nothing was received for this long is closed. It also
--- a/packages/peer/peer_loop.cc
+++ b/packages/peer/peer_loop.cc
@@ -157,10 +157,10 @@
     if (!accepted.value().has_value()) {
       return;
     }
-    if (incoming_.size() >= kMaximumAcceptedConnections) {
+    if (incoming_.size() >= options_.maximum_accepted_connections) {
       LogEvent(kPeerAcceptFailed,
                {{"error", std::string_view("too many connections are open")},
-                {"limit", kMaximumAcceptedConnections}});
+                {"limit", options_.maximum_accepted_connections}});
       continue;
     }
     incoming_.push_back(std::make_unique<IncomingLink>(
--- a/packages/peer/peer_network.h
+++ b/packages/peer/peer_network.h
@@ -31,6 +31,8 @@
     // the source address of the connections that are dialled.
     SocketAddress listen_address;
     std::vector<PeerAddress> peers;  // Without the instance itself.
+    // Accepted connections, including those that have not sent a hello yet.
+    size_t maximum_accepted_connections = 256;
     // Decides on an instance that says hello and is not among the peers:
     // nullopt refuses it; an address without a port accepts its calls only; any
     // other address is dialled as that of a peer from then on. Runs on the
