Dispatch: Bound the wait of a best-effort task for headroom

Cause: a best-effort task started only where the expected headroom stayed above 1.2 to 1.5 and no target was missed.

Change: after 3 s without a worker the headroom has to suffice for the lowest CPU limit only; after 6 s one task of the step starts where most headroom is left, if possible where no target is missed, and the next one waits again. CPU limits and the pause after a long miss protect the targets from then on.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -229,11 +229,11 @@
     TrackedJob* job = FindJob(task.job);
     TrackedStep& tracked_step =
         job->occurrence(task.occurrence).steps[task.step];
-    if (tracked_step.waiting_since) {
-      longest_wait_ = std::max(
-          longest_wait_,
-          std::chrono::floor<Milliseconds>(now - *tracked_step.waiting_since));
-    }
+    const Milliseconds waited = tracked_step.waiting_since
+                                    ? std::chrono::floor<Milliseconds>(
+                                          now - *tracked_step.waiting_since)
+                                    : Milliseconds(0);
+    longest_wait_ = std::max(longest_wait_, waited);
     if (now < tracked_step.next_placement) {
       continue;
     }
@@ -250,18 +250,29 @@
     if (++attempts > kMaximumPlacementsPerStep) {
       break;
     }
-    WorkerRejections rejections;
-    const bool placed = job->step(task).gang
-                            ? PlaceGang(state, job, task, now, &rejections)
-                            : PlaceTask(state, job, task, now, &rejections);
-    if (placed) {
-      tracked_step.waiting_since.reset();
-      tracked_step.wait_reports = 0;
+    const WorkerSelection selection =
+        job->step(task).gang ? PlaceGang(state, job, task, now)
+                             : PlaceTask(state, job, task, waited, now);
+    if (selection.worker != nullptr) {
+      EndWait(selection.protection, now, &tracked_step);
       continue;
     }
     tracked_step.next_placement = now + kPlacementRetryInterval;
-    ReportWait(*job, task, rejections, now, &tracked_step);
+    ReportWait(*job, task, selection.rejections, now, &tracked_step);
+  }
+}
+
+void Dispatcher::EndWait(TargetProtection protection,
+                         MonotonicTime now,
+                         TrackedStep* step) {
+  if (protection != TargetProtection::kAfterStart) {
+    step->waiting_since.reset();
+    step->wait_reports = 0;
+    return;
   }
+  // One task at a time starts without regard to targets. The next one of the
+  // step waits again, so that the measurements show the effect of the first.
+  step->waiting_since = now;
 }
 
 void Dispatcher::ReportWait(const TrackedJob& job,
@@ -291,17 +302,18 @@
                         {"low_headroom", rejections.low_headroom}});
 }
 
-bool Dispatcher::PlaceTask(const QueueState& state,
-                           TrackedJob* job,
-                           const TaskName& task,
-                           MonotonicTime now,
-                           WorkerRejections* rejections) {
+WorkerSelection Dispatcher::PlaceTask(const QueueState& state,
+                                      TrackedJob* job,
+                                      const TaskName& task,
+                                      Milliseconds waited,
+                                      MonotonicTime now) {
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
   WorkerRequest request{
       &job->job(),    &step,
       task,           tracked_task.avoid_worker,
-      step.data_rack, Milliseconds(unix_ms_ - job->LatestStartUnixMs(task))};
+      step.data_rack, Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
+      waited};
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->CountRunsOfStep(task.job, task.occurrence, task.step) > 0) {
@@ -311,36 +323,36 @@
   }
   const WorkerSelection selection = selector_.Select(
       request, workers_, state.evacuated(), interference_model_, now);
-  if (selection.worker == nullptr) {
-    *rejections = selection.rejections;
-    return false;
+  if (selection.worker != nullptr) {
+    StartRun(job, task, NextRunNumber(tracked_task), selection.worker, now);
   }
-  StartRun(job, task, NextRunNumber(tracked_task), selection.worker, now);
-  return true;
+  return selection;
 }
 
-bool Dispatcher::PlaceGang(const QueueState& state,
-                           TrackedJob* job,
-                           const TaskName& first,
-                           MonotonicTime now,
-                           WorkerRejections* rejections) {
+WorkerSelection Dispatcher::PlaceGang(const QueueState& state,
+                                      TrackedJob* job,
+                                      const TaskName& first,
+                                      MonotonicTime now) {
   const JobStep& step = job->step(first);
   // All members must fit at the same time, because members that started alone
   // would wait for the others. Temporary reservations test this.
   std::vector<std::pair<TaskName, TrackedWorker*>> members;
   uint64_t run = 0;
   std::string rack = step.data_rack;
+  WorkerSelection selection;
   for (int64_t index = 0; index < step.tasks; ++index) {
     TaskName task = first;
     task.index = index;
     run = std::max(run, NextRunNumber(job->task(task)));
-    const WorkerRequest request{&job->job(), &step, task,
-                                "",          rack,  Milliseconds(0)};
-    const WorkerSelection selection = selector_.Select(
-        request, workers_, state.evacuated(), interference_model_, now);
+    WorkerRequest request;
+    request.job = &job->job();
+    request.step = &step;
+    request.task = task;
+    request.preferred_rack = rack;
+    selection = selector_.Select(request, workers_, state.evacuated(),
+                                 interference_model_, now);
     TrackedWorker* worker = selection.worker;
     if (worker == nullptr) {
-      *rejections = selection.rejections;
       break;
     }
     if (step.tightly_coupled && rack.empty()) {
@@ -357,12 +369,12 @@
     worker->RemoveRun({task, 0});
   }
   if (static_cast<int64_t>(members.size()) < step.tasks) {
-    return false;
+    return selection;
   }
   for (const auto& [task, worker] : members) {
     StartRun(job, task, run, worker, now);
   }
-  return true;
+  return selection;
 }
 
 void Dispatcher::StartRun(TrackedJob* job,
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -121,18 +121,20 @@
   void CloseJob(const std::string& id, std::string_view reason);
 
   void PlaceReadyTasks(const QueueState& state, MonotonicTime now);
-  // Return false when no worker can run the task or a member of the gang, and
-  // why.
-  bool PlaceTask(const QueueState& state,
-                 TrackedJob* job,
-                 const TaskName& task,
-                 MonotonicTime now,
-                 WorkerRejections* rejections);
-  bool PlaceGang(const QueueState& state,
-                 TrackedJob* job,
-                 const TaskName& first,
-                 MonotonicTime now,
-                 WorkerRejections* rejections);
+  // Start the task, or the gang. Without a worker for the task, or for a member
+  // of the gang, the selection says why.
+  WorkerSelection PlaceTask(const QueueState& state,
+                            TrackedJob* job,
+                            const TaskName& task,
+                            Milliseconds waited,
+                            MonotonicTime now);
+  WorkerSelection PlaceGang(const QueueState& state,
+                            TrackedJob* job,
+                            const TaskName& first,
+                            MonotonicTime now);
+  static void EndWait(TargetProtection protection,
+                      MonotonicTime now,
+                      TrackedStep* step);
   // Logs why a step waits, after 1 s and each time that the wait has doubled.
   void ReportWait(const TrackedJob& job,
                   const TaskName& task,
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -295,6 +295,31 @@
   CheckNoViolation(pool);
 }
 
+// Pattern: best-effort work behind a full fleet. Fails when a job stands still
+// because every worker has a run that misses its target, or when the tasks of
+// such a job then all start at once.
+TEST(Dispatcher, BestEffortJobBehindAFullFleetMakesProgress) {
+  FakePool pool({.workers = 2, .task_time = Milliseconds(60'000)});
+  JobSpecification serving = FakePool::Job(2, 1);
+  serving.steps[0].long_running = true;
+  serving.steps[0].target_latency_ms = 1;  // Missed on an idle worker too.
+  serving.steps[0].maximum_tasks_per_worker = 1;
+  pool.Submit("serving", serving);
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 2; }, kLongEnough));
+  pool.RunFor(Milliseconds(2'000));
+  JobSpecification best_effort = FakePool::Job(3, 1);
+  best_effort.steps[0].best_effort = true;
+  best_effort.steps[0].image = "filler";
+  pool.Submit("filler", best_effort);
+  pool.RunFor(Milliseconds(5'500));
+  LONGS_EQUAL(2, pool.RunningTasks());
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 3; },
+                      Milliseconds(1'500)));
+  pool.RunFor(Milliseconds(3'000));
+  LONGS_EQUAL(3, pool.RunningTasks());
+  CheckNoViolation(pool);
+}
+
 // Fails when a task runs twice at the same time, starts after it was recorded
 // as done or before its predecessors are done, or when a job never ends, under
 // any mix of lost and delayed orders, partitioned and restarted workers and new
--- a/packages/dispatch/tests/worker_selector_test.cc
+++ b/packages/dispatch/tests/worker_selector_test.cc
@@ -32,11 +32,13 @@
     }
   }
 
-  std::string Select(const JobStep& step, Milliseconds lateness) {
+  std::string Select(const JobStep& step, Milliseconds lateness,
+                     Milliseconds waited = Milliseconds(0)) {
     WorkerRequest request;
     request.job = &job_;
     request.step = &step;
     request.lateness = lateness;
+    request.waited = waited;
     const WorkerSelection selection = selector_.Select(
         request, workers_, {}, model_, WorkerWithLatencyTarget::Now());
     rejections_ = selection.rejections;
@@ -68,6 +70,36 @@
   STRCMP_EQUAL("b-robust", Select(harmless_, Milliseconds(5'000)).c_str());
 }
 
+// Pattern: best-effort work behind a full fleet. Every worker runs something
+// that the task interferes with, or that misses its target, while each has
+// capacity; the task waited 46 s, and nothing bounded that.
+TEST(WorkerSelector, BestEffortTaskDoesNotWaitWithoutABound) {
+  workers_.erase("b-robust");
+  STRCMP_EQUAL("", Select(interfering_, Milliseconds(60'000)).c_str());
+  STRCMP_EQUAL(
+      "a-sensitive",
+      Select(interfering_, Milliseconds(60'000), Milliseconds(6'000)).c_str());
+  sensitive_.SetTailLatency(2 * WorkerWithLatencyTarget::kTargetMs);
+  workers_["a-sensitive"] =
+      std::make_unique<TrackedWorker>(sensitive_.tracked_worker());
+  STRCMP_EQUAL(
+      "", Select(harmless_, Milliseconds(60'000), Milliseconds(5'999)).c_str());
+  STRCMP_EQUAL(
+      "a-sensitive",
+      Select(harmless_, Milliseconds(60'000), Milliseconds(6'000)).c_str());
+}
+
+// Fails when a task that has waited for long is sent beside a missed target
+// although another worker misses none.
+TEST(WorkerSelector, TaskThatWaitedAvoidsMissedTargets) {
+  robust_.SetTailLatency(2 * WorkerWithLatencyTarget::kTargetMs);
+  workers_["b-robust"] =
+      std::make_unique<TrackedWorker>(robust_.tracked_worker());
+  STRCMP_EQUAL(
+      "a-sensitive",
+      Select(interfering_, Milliseconds(60'000), Milliseconds(6'000)).c_str());
+}
+
 // Fails when the log does not say why no worker runs a task.
 TEST(WorkerSelector, CountsTheReasonsOfRejections) {
   sensitive_.SetTailLatency(2 * WorkerWithLatencyTarget::kTargetMs);
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -52,6 +52,15 @@
 // total. Beyond it they only slow down each other and the other runs.
 constexpr double kMaximumBestEffortShare = 1.1;
 
+// Waits after which the protection of targets yields. A best-effort task may
+// not wait without a bound while workers have capacity for it: its job would
+// stand still with a service that is always close to its targets.
+constexpr Milliseconds kThrottledStartWait{3'000};
+constexpr Milliseconds kUnprotectedStartWait{6'000};
+// Applies to a worker with a missed target, which a task that may start there
+// still avoids.
+constexpr double kMissedTargetWeight = 4.0;
+
 bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
   return std::find(worker.labels.begin(), worker.labels.end(), label) !=
          worker.labels.end();
@@ -99,6 +108,14 @@
 
 }  // namespace
 
+TargetProtection WorkerSelector::ProtectionAfter(Milliseconds waited) {
+  if (waited >= kUnprotectedStartWait) {
+    return TargetProtection::kAfterStart;
+  }
+  return waited >= kThrottledStartWait ? TargetProtection::kThrottled
+                                       : TargetProtection::kFull;
+}
+
 int64_t WorkerSelector::InitialCpuLimit(const JobStep& step,
                                         const TrackedWorker& worker,
                                         const LatencyInterferenceModel& model) {
@@ -179,6 +196,13 @@
                              std::clamp(late_seconds, 0.0, kMaximumLateSeconds);
   const size_t source = model.BusySourceOf(step.image);
   WorkerSelection selection;
+  selection.protection = ProtectionAfter(request.waited);
+  const bool unprotected =
+      selection.protection == TargetProtection::kAfterStart;
+  const double share_in_use =
+      selection.protection == TargetProtection::kFull
+          ? 1.0
+          : static_cast<double>(kCpuLimitStepPercent) / 100;
   WorkerRejections& rejections = selection.rejections;
   double best_score = 0;
   for (const auto& [id, worker] : workers) {
@@ -213,12 +237,15 @@
         worker->best_effort_estimate = model.EstimateFor(*worker);
       }
       const double headroom = model.MinimumHeadroomWith(
-          source, *worker->best_effort_estimate, RequestedShare(step, *worker));
-      if (worker->best_effort_estimate->is_any_over_target) {
+          source, *worker->best_effort_estimate,
+          RequestedShare(step, *worker) * share_in_use);
+      const bool missed = worker->best_effort_estimate->is_any_over_target;
+      if (missed && !unprotected) {
         ++rejections.target_missed;
         continue;
       }
-      if (headroom < minimum_headroom) {
+      score += missed ? kMissedTargetWeight : 0;
+      if (headroom < minimum_headroom && !unprotected) {
         ++rejections.low_headroom;
         continue;
       }
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -25,6 +25,8 @@
   // Time since the latest start that meets the objective of the job; negative
   // before it.
   Milliseconds lateness{0};
+  // Time for which no worker was found for the step.
+  Milliseconds waited{0};
 };
 
 // How many workers could not run a task, by the first reason that was found.
@@ -38,9 +40,17 @@
   int64_t low_headroom = 0;   // A run would come too close to its target.
 };
 
+// How far the protection of targets yields to a best-effort task that waits.
+enum class TargetProtection {
+  kFull,
+  kThrottled,   // The headroom has to suffice for the lowest CPU limit only.
+  kAfterStart,  // Left to the CPU limits, which follow what is measured.
+};
+
 struct WorkerSelection {
   TrackedWorker* worker = nullptr;  // Null when no worker can run the task.
   WorkerRejections rejections;
+  TargetProtection protection = TargetProtection::kFull;
 };
 
 // Selects workers by capacity, labels, rack, region, recent failures and
@@ -61,6 +71,7 @@
                          const LatencyInterferenceModel& model,
                          MonotonicTime now) const;
 
+  static TargetProtection ProtectionAfter(Milliseconds waited);
   // CPU limit, in percent, that a best-effort run starts with on the worker.
   static int64_t InitialCpuLimit(const JobStep& step,
                                  const TrackedWorker& worker,
