Dispatch: Handle a worker that was restarted under its id

An acknowledgement made it discard finished runs that the leader had never received, since their numbers start anew: a task ran again after its last attempt had failed, or after it was done. A start made it run a task that the leader, on the registration, started elsewhere at once. FakePool rejected such orders, so no test saw it.

Change: a renewal after a failed one acknowledges nothing, and its worker gets no start. Runs that the later incarnation may have are stopped there, and start again only when its list shows that they have ended. 421 and a list of a later incarnation are different outcomes now. FakePool behaves as the platform does, and checks attempts as well.

WorkerRestart has a test for each rule.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -77,10 +77,11 @@
   for (const auto& [id, registration] : state.workers()) {
     addresses.insert(registration.address);
     auto& worker = workers_[id];
+    std::unique_ptr<TrackedWorker> earlier;
     if (worker != nullptr && worker->registration().started_unix_ms !=
                                  registration.started_unix_ms) {
-      RequeueLostRuns(worker.get(), "the worker was restarted", now);
-      worker.reset();
+      RequeueRunsOfEndedIncarnation(worker.get(), now);
+      earlier = std::move(worker);
     }
     if (worker == nullptr) {
       worker = std::make_unique<TrackedWorker>(registration);
@@ -88,8 +89,12 @@
       worker->in_other_region =
           selector_.IsInOtherRegion(registration.failure_domain);
       // A worker that registers after the takeover has no runs of an earlier
-      // leader.
-      worker->contacted = synchronized_;
+      // leader, unless it was restarted before this leader had contact.
+      worker->contacted =
+          synchronized_ && (earlier == nullptr || earlier->contacted);
+      if (earlier != nullptr) {
+        StopInheritedRuns(earlier.get(), worker.get(), now);
+      }
     } else {
       worker->Update(registration);
       worker->deregistered = false;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -164,6 +164,16 @@
   void RequeueLostRuns(TrackedWorker* worker,
                        std::string_view reason,
                        MonotonicTime now);
+  // This incarnation of the worker has ended, and a later one exists.
+  void RequeueRunsOfEndedIncarnation(TrackedWorker* worker, MonotonicTime now);
+  // Stops runs of the earlier incarnation that the later one may execute.
+  void StopInheritedRuns(TrackedWorker* earlier,
+                         TrackedWorker* later,
+                         MonotonicTime now);
+  void RequeueRuns(TrackedWorker* worker,
+                   const std::vector<RunKey>& runs,
+                   std::string_view reason,
+                   MonotonicTime now);
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
 
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -50,8 +50,8 @@
   if (run == nullptr) {
     return;
   }
-  if (outcome == OrderOutcome::kWrongIncarnation) {
-    RequeueLostRuns(worker, "this incarnation of the worker has ended", now);
+  if (outcome == OrderOutcome::kWrongWorker) {
+    RequeueLostRuns(worker, "the worker has ended", now);
     worker->avoid_until = now + kUnhealthyPause;
     return;
   }
@@ -80,8 +80,11 @@
                          {"outcome", OrderOutcomeName(outcome)},
                          {"orders_sent", run->orders_sent}});
   ++counters_.starts_refused;
-  if (outcome == OrderOutcome::kUnknown) {
-    return;  // RetryOrders() retries the start.
+  if (outcome == OrderOutcome::kUnknown ||
+      outcome == OrderOutcome::kRestarted) {
+    // RetryOrders() retries the start, or the registration of the later
+    // incarnation resolves it.
+    return;
   }
   if (outcome == OrderOutcome::kRunTooOld) {
     // An earlier start order of this run was executed, and the run has ended.
@@ -138,8 +141,8 @@
     // The worker rejects a start order of this run that arrives later.
     run->confirmed = now;
     worker->next_renewal = now;
-  } else if (outcome == OrderOutcome::kWrongIncarnation) {
-    RequeueLostRuns(worker, "this incarnation of the worker has ended", now);
+  } else if (outcome == OrderOutcome::kWrongWorker) {
+    RequeueLostRuns(worker, "the worker has ended", now);
   }
 }
 
@@ -259,6 +262,7 @@
       AdoptRun(worker, reported, now);
       continue;
     }
+    run->listed = true;
     if (run->phase == RunPhase::kStarting) {
       run->phase = RunPhase::kRunning;
       run->order_in_flight = false;
@@ -320,6 +324,7 @@
   TrackedJob* job = FindJob(reported.task.job);
   TrackedRun run;
   run.confirmed = now;
+  run.listed = true;
   run.progress_percent = reported.progress_percent;
   run.progress_changed = now;
   run.measurement = reported.measurement;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds kMaximumResponseAgeForRetry{2'500};
 // Maximum wait of a lease renewal while a run exceeds its target latency.
 constexpr Milliseconds kOverTargetRenewalWait{300};
+// Added to the maximum lease of a worker that was restarted. Covers orders to
+// the earlier incarnation that are on their way.
+constexpr Milliseconds kInheritedLeaseMargin{1'600};
 // After this many consecutive failures, a worker gets no new runs for the
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
@@ -61,7 +64,11 @@
   if (worker->failed_renewals == 0 && !worker->deregistered) {
     order.lease_until_ms = worker->GrantLease(options_.lease, now);
   }
-  order.acknowledged_through = worker->acknowledged_through;
+  // After a failure, the worker may have been restarted. The numbers of
+  // finished runs start anew then, and an acknowledgement would make the worker
+  // discard some that this leader has never received.
+  order.acknowledged_through =
+      worker->failed_renewals == 0 ? worker->acknowledged_through : 0;
   if (worker->contacted && worker->failed_renewals == 0) {
     order.wait = HasRunOverTarget(*worker) ? kOverTargetRenewalWait
                                            : options_.renewal_wait;
@@ -107,21 +114,55 @@
 void Dispatcher::RequeueLostRuns(TrackedWorker* worker,
                                  std::string_view reason,
                                  MonotonicTime now) {
-  if (worker->runs().empty()) {
+  std::vector<RunKey> keys;
+  for (const auto& [key, run] : worker->runs()) {
+    keys.push_back(key);
+  }
+  RequeueRuns(worker, keys, reason, now);
+}
+
+void Dispatcher::RequeueRunsOfEndedIncarnation(TrackedWorker* worker,
+                                               MonotonicTime now) {
+  std::vector<RunKey> ended;
+  for (const auto& [key, run] : worker->runs()) {
+    if (!MayRunOnLaterIncarnation(run)) {
+      ended.push_back(key);
+    }
+  }
+  RequeueRuns(worker, ended, "the worker was restarted", now);
+}
+
+void Dispatcher::StopInheritedRuns(TrackedWorker* earlier,
+                                   TrackedWorker* later,
+                                   MonotonicTime now) {
+  if (earlier->runs().empty()) {
+    return;
+  }
+  later->AssumeLease(now + options_.maximum_lease * 51 / 50 +
+                     kInheritedLeaseMargin);
+  for (auto& [key, run] : earlier->runs()) {
+    run.phase = RunPhase::kStarting;
+    run.listed = false;
+    SendStop(later, key, &later->AddRun(key, run),
+             "the worker was restarted and may have executed the start", now);
+  }
+}
+
+void Dispatcher::RequeueRuns(TrackedWorker* worker,
+                             const std::vector<RunKey>& runs,
+                             std::string_view reason,
+                             MonotonicTime now) {
+  if (runs.empty()) {
     return;
   }
   LogEvent(kRunsLost, {{"worker", worker->registration().id},
-                       {"runs", worker->runs().size()},
+                       {"runs", runs.size()},
                        {"reason", reason},
                        {"silent_ms", std::chrono::floor<Milliseconds>(
                                          now - worker->last_response)
                                          .count()}});
-  std::vector<RunKey> keys;
-  for (const auto& [key, run] : worker->runs()) {
-    keys.push_back(key);
-  }
-  counters_.runs_lost += keys.size();
-  for (const RunKey& key : keys) {
+  counters_.runs_lost += runs.size();
+  for (const RunKey& key : runs) {
     worker->RemoveRun(key);
     Requeue(key.first, key.second, now);
   }
@@ -212,11 +253,13 @@
   if (outcome != OrderOutcome::kAccepted) {
     ++worker->failed_renewals;
     worker->next_renewal = now + kFailedRenewalPause;
-    if (outcome == OrderOutcome::kWrongIncarnation ||
+    if (outcome == OrderOutcome::kWrongWorker ||
         (outcome == OrderOutcome::kConnectionRefused && worker->deregistered)) {
-      RequeueLostRuns(worker, "this incarnation of the worker has ended", now);
+      RequeueLostRuns(worker, "the worker has ended", now);
       worker->contacted = true;
       worker->avoid_until = now + kAvoidanceTime;
+    } else if (outcome == OrderOutcome::kRestarted) {
+      RequeueRunsOfEndedIncarnation(worker, now);
     }
     if (worker->failed_renewals == 1) {
       LogEvent(kWorkerUnreachable, {{"worker", address.id},
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -13,6 +13,8 @@
 constexpr Milliseconds kResponseTimeout{1'000};
 constexpr int64_t kMaximumDeliveryDelayMs = 6'000;
 constexpr int64_t kStartUnixMs = 1'000'000;
+constexpr uint64_t kMaximumRegistrationDelayMs = 1'500;
+constexpr int64_t kMaximumAttempts = 4;
 constexpr int64_t kBaselineTailMs = 8;
 constexpr int64_t kInterferenceTailMs = 90;
 
@@ -60,7 +62,7 @@
   command.id = id;
   command.queue = "queue";
   command.pool = "pool";
-  command.maximum_attempts = 4;
+  command.maximum_attempts = kMaximumAttempts;
   command.specification = std::move(job);
   Apply(std::move(command));
 }
@@ -117,6 +119,7 @@
   for (Worker& worker : workers_) {
     AdvanceWorker(&worker);
   }
+  RegisterRestartedWorkers();
   std::vector<Delivery> due;
   std::erase_if(deliveries_, [&](const Delivery& delivery) {
     if (delivery.time > now_) {
@@ -138,8 +141,12 @@
       std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
   for (const WorkerOrder& order : dispatcher->Step(state_, now_, unix_ms)) {
     const int worker = std::stoi(order.worker.id.substr(1));
-    Delivery delivery{now_ + Milliseconds(1 + random_() % 40), worker, order,
-                      dispatcher->leader_epoch(), true};
+    Delivery delivery{now_ + Milliseconds(1 + random_() % 40),
+                      worker,
+                      order,
+                      dispatcher->leader_epoch(),
+                      true,
+                      workers_[worker].registration.started_unix_ms};
     const double random_draw = Random();
     if (random_draw < options_.lose_order) {
       // The outcome is unknown after the response timeout.
@@ -180,8 +187,20 @@
       deliveries_.push_back(timed_out);
       return;
     }
+    const bool ended =
+        delivery.incarnation != worker.registration.started_unix_ms;
+    if (ended && !delivery.has_response) {
+      return;
+    }
     std::tie(outcome, renewal) =
         Execute(&worker, delivery.order, delivery.fence);
+    // The client sends the order again when its connection ends. Whether the
+    // first copy was executed is not known then.
+    if (ended && outcome != OrderOutcome::kAccepted &&
+        outcome != OrderOutcome::kRunTooOld &&
+        outcome != OrderOutcome::kRestarted) {
+      outcome = OrderOutcome::kUnknown;
+    }
   }
   if (!delivery.has_response || delivery.fence != dispatcher_->leader_epoch()) {
     return;
@@ -207,9 +226,6 @@
 
 std::pair<OrderOutcome, LeaseRenewalResponse>
 FakePool::Execute(Worker* worker, const WorkerOrder& order, int64_t fence) {
-  if (worker->registration.started_unix_ms != order.worker.started_unix_ms) {
-    return {OrderOutcome::kWrongIncarnation, {}};
-  }
   if (fence < worker->fence) {
     return {OrderOutcome::kFenced, {}};
   }
@@ -227,8 +243,13 @@
     }
     return {OrderOutcome::kAccepted, {}};
   }
-  return {OrderOutcome::kAccepted,
-          RenewLease(worker, std::get<LeaseRenewalOrder>(order.body))};
+  LeaseRenewalResponse renewal =
+      RenewLease(worker, std::get<LeaseRenewalOrder>(order.body));
+  // Only the lists state which incarnation responds.
+  if (worker->registration.started_unix_ms != order.worker.started_unix_ms) {
+    return {OrderOutcome::kRestarted, {}};
+  }
+  return {OrderOutcome::kAccepted, std::move(renewal)};
 }
 
 OrderOutcome FakePool::StartRun(Worker* worker, const StartOrder& start) {
@@ -262,6 +283,8 @@
     }
   }
   ++starts_;
+  attempts_[start.task].last_start = now_;
+  CheckAttempts(start.task);
   Run run;
   run.end_time = now_ + options_.task_time;
   run.image = step.image;
@@ -287,6 +310,8 @@
     worker->lease_until_ms =
         std::max(worker->lease_until_ms, *order.lease_until_ms);
   }
+  ObserveAcknowledged(*worker, worker->acknowledged_through,
+                      order.acknowledged_through);
   worker->acknowledged_through =
       std::max(worker->acknowledged_through, order.acknowledged_through);
   LeaseRenewalResponse response;
@@ -314,6 +339,9 @@
 void FakePool::AdvanceWorker(Worker* worker) {
   std::vector<std::pair<RunKey, std::string>> ended;
   const bool lease_expired = ClockOf(*worker) > worker->lease_until_ms;
+  if (lease_expired) {
+    worker->lease_expired_at = now_;
+  }
   for (const auto& [key, run] : worker->runs) {
     if (lease_expired) {
       ended.emplace_back(key, "lapsed");
@@ -342,6 +370,39 @@
                       ""};
   end.reason = std::move(reason);
   worker->finished_runs.push_back(std::move(end));
+  worker->finished_at.push_back(now_);
+}
+
+void FakePool::ObserveAcknowledged(const Worker& worker,
+                                   int64_t from,
+                                   int64_t through) {
+  for (int64_t number = from; number < through; ++number) {
+    const auto position = static_cast<size_t>(number);
+    if (position >= worker.finished_runs.size()) {
+      return;
+    }
+    const FinishedRun& finished = worker.finished_runs[position].finished_run;
+    // The leader may start the task again once the lease has expired.
+    if (finished.outcome != RunOutcome::kFailed ||
+        worker.lease_expired_at > worker.finished_at[position]) {
+      continue;
+    }
+    attempts_[finished.task].acknowledged_failures.insert(
+        worker.finished_at[position]);
+    CheckAttempts(finished.task);
+  }
+}
+
+void FakePool::CheckAttempts(const TaskName& task) {
+  const Attempts& attempts = attempts_[task];
+  if (attempts.acknowledged_failures.size() < kMaximumAttempts) {
+    return;
+  }
+  const auto last_allowed =
+      std::next(attempts.acknowledged_failures.begin(), kMaximumAttempts - 1);
+  if (attempts.last_start > *last_allowed) {
+    RecordViolation(task.ToString() + " starts after its last attempt");
+  }
 }
 
 void FakePool::Crash(int number) {
@@ -349,8 +410,20 @@
   Worker next;
   next.registration = worker.registration;
   ++next.registration.started_unix_ms;
+  next.clock_start_ms = worker.clock_start_ms;
+  next.partitioned = worker.partitioned;
+  next.registers_at =
+      now_ + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
   worker = std::move(next);
-  Apply(PutWorker{worker.registration});
+}
+
+void FakePool::RegisterRestartedWorkers() {
+  for (Worker& worker : workers_) {
+    if (worker.registers_at && *worker.registers_at <= now_) {
+      worker.registers_at.reset();
+      Apply(PutWorker{worker.registration});
+    }
+  }
 }
 
 void FakePool::SetDraining(int number) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -47,7 +47,9 @@
   void SetPartitioned(int worker, bool partitioned) {
     workers_[worker].partitioned = partitioned;
   }
-  // Ends the process and restarts it under the same id as a new incarnation.
+  // Ends the process and restarts it under the same id as a new incarnation,
+  // which registers later. Orders name only the id, so the new incarnation
+  // executes those that were meant for the earlier one.
   void Crash(int worker);
   // Makes every run on the worker fail.
   void FailAll(int worker, bool fails) { workers_[worker].fails_all = fails; }
@@ -89,10 +91,13 @@
     std::map<RunKey, Run> runs;
     std::map<TaskName, uint64_t> highest_finished;
     std::vector<ReportedFinishedRun> finished_runs;
+    std::vector<MonotonicTime> finished_at;  // Of each finished run.
+    MonotonicTime lease_expired_at;          // The last time.
     int64_t finished_run_count = 0;
     int64_t acknowledged_through = 0;
     bool partitioned = false;
     bool fails_all = false;
+    std::optional<MonotonicTime> registers_at;  // After a restart.
   };
   struct Delivery {
     MonotonicTime time;
@@ -100,10 +105,13 @@
     WorkerOrder order;
     int64_t fence = 0;
     bool has_response = true;
+    // The incarnation to which the order was sent. A connection ends with it.
+    int64_t incarnation = 0;
   };
 
   void Step();
   void StepDispatcher(Dispatcher* dispatcher);
+  void RegisterRestartedWorkers();
   void AdvanceWorker(Worker* worker);
   void FinishRun(Worker* worker, const RunKey& key, std::string reason);
   std::pair<OrderOutcome, LeaseRenewalResponse>
@@ -114,6 +122,10 @@
                                   const LeaseRenewalOrder& order);
   void Deliver(const Delivery& delivery);
   void CheckInvariants();
+  // Checks that no start of the task followed its last allowed failure, as far
+  // as acknowledged failures show.
+  void CheckAttempts(const TaskName& task);
+  void ObserveAcknowledged(const Worker& worker, int64_t from, int64_t through);
   void RecordViolation(const std::string& violation);
   double Random();
   int64_t ClockOf(const Worker& worker) const;
@@ -125,6 +137,13 @@
   std::vector<Worker> workers_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::vector<Delivery> deliveries_;
+  // Of the runs of a task: when those that count as failed attempts ended, as
+  // far as the leader has acknowledged them, and when the last one started.
+  struct Attempts {
+    std::multiset<MonotonicTime> acknowledged_failures;
+    MonotonicTime last_start;
+  };
+  std::map<TaskName, Attempts> attempts_;
   std::set<TaskName> recorded_done_;
   std::string interfering_image_;
   std::string violation_;
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -320,52 +320,63 @@
   CheckNoViolation(pool);
 }
 
+// Runs a random sequence of faults on a pool and checks what must always hold.
+void CheckAnySequenceOfFaults(FakePool::Options options) {
+  options.seed = *rc::gen::arbitrary<uint64_t>();
+  options.lose_order = 0.05;
+  options.delay_order = 0.05;
+  FakePool pool(options);
+  int jobs = 0;
+  const auto faults =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
+  for (const int fault : faults) {
+    if (jobs < 20) {
+      pool.Submit(absl::StrCat("job", jobs++), FakePool::Job(4, 2));
+    }
+    const int worker = fault % options.workers;
+    if (fault < 4) {
+      pool.SetPartitioned(worker, true);
+    } else if (fault < 8) {
+      pool.SetPartitioned(worker, false);
+    } else if (fault < 10) {
+      pool.Crash(worker);
+    } else if (fault < 12) {
+      pool.ChangeLeader();
+    }
+    pool.RunFor(Milliseconds(700));
+  }
+  for (int worker = 0; worker < options.workers; ++worker) {
+    pool.SetPartitioned(worker, false);
+  }
+  const bool all_ended = pool.RunUntil(
+      [&] {
+        for (int i = 0; i < jobs; ++i) {
+          if (pool.Outcome(absl::StrCat("job", i)) == JobOutcome::kOpen) {
+            return false;
+          }
+        }
+        return true;
+      },
+      Milliseconds(120'000));
+  RC_ASSERT(pool.violation() == "");
+  RC_ASSERT(all_ended);
+}
+
 // Fails when a task runs twice at the same time, starts after it was recorded
 // as done or before its predecessors are done, or when a job never ends, under
 // any mix of lost and delayed orders, partitioned and restarted workers and new
 // leaders.
 TEST(Dispatcher, AnySequenceOfFaultsRunsEveryTaskOnce) {
-  CHECK(rc::check("faults", [] {
-    FakePool::Options options;
-    options.seed = *rc::gen::arbitrary<uint64_t>();
-    options.lose_order = 0.05;
-    options.delay_order = 0.05;
-    options.fail_task = 0.02;
-    FakePool pool(options);
-    int jobs = 0;
-    const auto faults =
-        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
-    for (const int fault : faults) {
-      if (jobs < 20) {
-        pool.Submit(absl::StrCat("job", jobs++), FakePool::Job(4, 2));
-      }
-      const int worker = fault % options.workers;
-      if (fault < 4) {
-        pool.SetPartitioned(worker, true);
-      } else if (fault < 8) {
-        pool.SetPartitioned(worker, false);
-      } else if (fault < 10) {
-        pool.Crash(worker);
-      } else if (fault < 12) {
-        pool.ChangeLeader();
-      }
-      pool.RunFor(Milliseconds(700));
-    }
-    for (int worker = 0; worker < options.workers; ++worker) {
-      pool.SetPartitioned(worker, false);
-    }
-    const bool all_ended = pool.RunUntil(
-        [&] {
-          for (int i = 0; i < jobs; ++i) {
-            if (pool.Outcome(absl::StrCat("job", i)) == JobOutcome::kOpen) {
-              return false;
-            }
-          }
-          return true;
-        },
-        Milliseconds(120'000));
-    RC_ASSERT(pool.violation() == "");
-    RC_ASSERT(all_ended);
+  CHECK(rc::check("faults",
+                  [] { CheckAnySequenceOfFaults({.fail_task = 0.02}); }));
+}
+
+// Fails when a task starts once more after its last attempt has failed, under
+// the same faults.
+TEST(Dispatcher, NoSequenceOfFaultsStartsATaskAfterItsLastAttempt) {
+  CHECK(rc::check("attempts", [] {
+    CheckAnySequenceOfFaults(
+        {.fail_task = 0.6, .task_time = Milliseconds(150)});
   }));
 }
 
--- /dev/null
+++ b/packages/dispatch/tests/worker_restart_test.cc
@@ -0,0 +1,134 @@
+#include "packages/dispatch/dispatch.h"
+#include "packages/dispatch/fakes/fake_pool.h"
+
+// Redefines operator new, so it comes after the standard library.
+#include "CppUTest/TestHarness.h"
+
+namespace bramleyrail {
+namespace {
+
+constexpr int64_t kUnixMs = 1'000'000;
+
+// A dispatcher with one worker, whose orders and responses the test handles.
+TEST_GROUP(WorkerRestart) {
+  QueueState state_;
+  MonotonicTime now_{std::chrono::hours(1)};
+  std::unique_ptr<Dispatcher> dispatcher_;
+  WorkerRegistration registration_;
+
+  void setup() override {
+    QueueConfiguration configuration;
+    configuration.version = 1;
+    configuration.pools.push_back({.name = "pool"});
+    Apply(ReplaceConfiguration{configuration});
+    registration_.id = "w";
+    registration_.started_unix_ms = kUnixMs;
+    registration_.address = "10.0.0.1:80";
+    registration_.pool = "pool";
+    registration_.failure_domain = "east";
+    registration_.capacity = {8'000, 64'000, 0};
+    dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 1, now_);
+    Apply(PutWorker{registration_});
+    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                            {.clock_ms = 5'000}, now_, now_);
+  }
+
+  WorkerAddress Address() const {
+    return {registration_.id, registration_.started_unix_ms,
+            registration_.address};
+  }
+
+  void Apply(QueueCommandBody body) {
+    state_.Apply({kUnixMs, std::move(body)});
+    if (dispatcher_ != nullptr) {
+      dispatcher_->Synchronize(state_, now_);
+    }
+  }
+
+  // Returns the orders of one kind that are due after the time has passed.
+  template <typename Order>
+  std::vector<Order> Step(Milliseconds elapsed) {
+    now_ += elapsed;
+    std::vector<Order> found;
+    for (const WorkerOrder& order : dispatcher_->Step(state_, now_, kUnixMs)) {
+      if (const auto* body = std::get_if<Order>(&order.body)) {
+        found.push_back(*body);
+      }
+    }
+    return found;
+  }
+};
+
+// A restarted worker discarded finished runs by an acknowledgement that was
+// meant for its earlier incarnation: a task ran again after its last attempt,
+// or after it was done.
+TEST(WorkerRestart, NothingIsAcknowledgedWithoutContact) {
+  Step<LeaseRenewalOrder>(Milliseconds(0));
+  ReportedFinishedRun finished;
+  finished.number = 7;
+  finished.finished_run.task = {"job", 0, 0, 0};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
+  const auto renewals = Step<LeaseRenewalOrder>(Milliseconds(100));
+  LONGS_EQUAL(1, renewals.size());
+  LONGS_EQUAL(7, renewals.front().acknowledged_through);
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown, {},
+                                          now_, now_);
+  const auto next = Step<LeaseRenewalOrder>(Milliseconds(300));
+  LONGS_EQUAL(1, next.size());
+  LONGS_EQUAL(0, next.front().acknowledged_through);
+  CHECK(!next.front().lease_until_ms.has_value());
+}
+
+// A start that was meant for the earlier incarnation ran on the later one,
+// while the task was started again elsewhere.
+TEST(WorkerRestart, StartThatTheLaterIncarnationMayRunIsStoppedFirst) {
+  SubmitJob job;
+  job.id = "job";
+  job.queue = "queue";
+  job.pool = "pool";
+  job.maximum_attempts = 4;
+  job.specification = FakePool::Job(1, 1);
+  Apply(job);
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  now_ += Milliseconds(10);
+  std::vector<StopOrder> stops;
+  for (const WorkerOrder& order : dispatcher_->Step(state_, now_, kUnixMs)) {
+    CHECK(!std::holds_alternative<StartOrder>(order.body));
+    if (const auto* stop = std::get_if<StopOrder>(&order.body)) {
+      stops.push_back(*stop);
+      LONGS_EQUAL(registration_.started_unix_ms, order.worker.started_unix_ms);
+    }
+  }
+  LONGS_EQUAL(1, stops.size());
+  dispatcher_->HandleStopResponse(Address(), stops.front().task,
+                                  stops.front().run, OrderOutcome::kAccepted,
+                                  now_);
+  CHECK(Step<StartOrder>(Milliseconds(10)).empty());
+  // The list after the stop shows that the run has ended.
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          {.clock_ms = 100},
+                                          now_ - Milliseconds(1), now_);
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
+}
+
+// Guards against a start that is sent to a worker which may just be restarting.
+TEST(WorkerRestart, WorkerWithoutContactGetsNoStart) {
+  Step<LeaseRenewalOrder>(Milliseconds(0));
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown, {},
+                                          now_, now_);
+  SubmitJob job;
+  job.id = "job";
+  job.queue = "queue";
+  job.pool = "pool";
+  job.specification = FakePool::Job(1, 1);
+  Apply(job);
+  CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+}
+
+}  // namespace
+}  // namespace bramleyrail
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -16,6 +16,10 @@
 
 }  // namespace
 
+bool MayRunOnLaterIncarnation(const TrackedRun& run) {
+  return !run.listed || run.orders_sent > 1;
+}
+
 TrackedWorker::TrackedWorker(WorkerRegistration registration) {
   Update(registration);
 }
@@ -61,13 +65,14 @@
 
 std::optional<MonotonicTime> TrackedWorker::LeaseDeadline() const {
   if (!granted_until_ms_ || !clock_) {
-    return std::nullopt;
+    return assumed_until_;
   }
   const int64_t left_ms = *granted_until_ms_ - clock_->first;
-  return clock_->second +
-         Milliseconds(left_ms * 1'000 /
-                      (1'000 - kMaximumClockSlownessPermille)) +
-         kLeaseExpiryMargin;
+  const MonotonicTime deadline =
+      clock_->second +
+      Milliseconds(left_ms * 1'000 / (1'000 - kMaximumClockSlownessPermille)) +
+      kLeaseExpiryMargin;
+  return std::max(deadline, assumed_until_.value_or(deadline));
 }
 
 TrackedRun& TrackedWorker::AddRun(const RunKey& key, TrackedRun run) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -35,6 +35,8 @@
   // When the worker confirmed the last start or stop order, or first reported
   // the run as running.
   std::optional<MonotonicTime> confirmed;
+  // A list of this incarnation of the worker has named the run.
+  bool listed = false;
   std::string payload;     // Kept for retries of the start order.
   std::string checkpoint;  // The run starts from it; empty: none.
   int64_t progress_percent = 0;
@@ -51,6 +53,11 @@
   std::optional<MonotonicTime> over_target_since;
 };
 
+// Whether a later incarnation of the worker may have executed a start order of
+// the run, or may still do so. An order names only the id of the worker, and it
+// may be executed seconds after it was sent.
+bool MayRunOnLaterIncarnation(const TrackedRun& run);
+
 // The leader's record of one incarnation of a worker.
 class TrackedWorker {
  public:
@@ -69,6 +76,9 @@
   // while the clock is not known. The worker is assumed to hold the lease from
   // now on.
   std::optional<int64_t> GrantLease(Milliseconds lease, MonotonicTime now);
+  // Assumes that the worker may hold a lease until this time that was meant for
+  // an earlier incarnation.
+  void AssumeLease(MonotonicTime until) { assumed_until_ = until; }
   // After this time, all leases that this leader granted have expired. nullopt
   // when it granted none.
   std::optional<MonotonicTime> LeaseDeadline() const;
@@ -126,6 +136,7 @@
   // The worker's clock in milliseconds, and when it was received.
   std::optional<std::pair<int64_t, MonotonicTime>> clock_;
   std::optional<int64_t> granted_until_ms_;
+  std::optional<MonotonicTime> assumed_until_;
   std::map<RunKey, TrackedRun> runs_;
   ResourceAmounts reserved_;
   int64_t best_effort_processor_millis_ = 0;
--- a/packages/dispatch/worker_order.cc
+++ b/packages/dispatch/worker_order.cc
@@ -20,8 +20,10 @@
       return "invalid";
     case OrderOutcome::kUnhealthy:
       return "unhealthy";
-    case OrderOutcome::kWrongIncarnation:
-      return "other_life";
+    case OrderOutcome::kWrongWorker:
+      return "wrong_worker";
+    case OrderOutcome::kRestarted:
+      return "restarted";
     case OrderOutcome::kNotSent:
       return "not_sent";
     case OrderOutcome::kConnectionRefused:
--- a/packages/dispatch/worker_order.h
+++ b/packages/dispatch/worker_order.h
@@ -66,8 +66,11 @@
   kNoTicket,     // The worker requires a valid ticket.
   kInvalid,      // The worker could not parse the order.
   kUnhealthy,    // The worker is unhealthy and did not execute the order.
-  // Another incarnation of the worker, or another worker, responded.
-  kWrongIncarnation,
+  // Another worker has the address, so this one has ended.
+  kWrongWorker,
+  // A later incarnation of the worker responded. It executes orders that were
+  // meant for an earlier one, since an order names only the id.
+  kRestarted,
   kNotSent,
   kConnectionRefused,
   kUnknown,  // The order may have been executed, or may still be.
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -139,9 +139,11 @@
                                 const std::set<std::string>& evacuated,
                                 MonotonicTime now) {
   const WorkerRegistration& registration = worker.registration();
-  // Without the worker's clock, a start order could not carry a lease.
-  return worker.contacted && worker.has_clock() && !worker.deregistered &&
-         !registration.draining && registration.pool == pool &&
+  // Without the worker's clock, a start order could not carry a lease. After a
+  // failed renewal, a later incarnation might execute the order.
+  return worker.failed_renewals == 0 && worker.contacted &&
+         worker.has_clock() && !worker.deregistered && !registration.draining &&
+         registration.pool == pool &&
          !evacuated.contains(registration.failure_domain) &&
          now - worker.last_response < kMaximumResponseAge &&
          now >= worker.avoid_until;
