Queue: Keep a worker that drains or has left out of use

Cause: only the leader that took a newer heartbeat remembered its number. After a change of the leader, a heartbeat that had been delayed could register a worker that had left, or clear that a worker drains, and tasks were started there.

Change: a registration keeps the number of the heartbeat that described it so, and a drained worker that leaves is remembered until old jobs are purged; an older heartbeat changes nothing. A worker that starts again under its id is a newer incarnation and registers as before.

--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -290,11 +290,13 @@
     return;
   }
   std::tie(incarnation, sequence) = newest;
+  registration.heartbeat_sequence = heartbeat.sequence;
   dispatch_->ObserveClock(registration.id, registration.started_unix_ms,
                           heartbeat.clock_ms);
   const bool known = queue_->Read([&registration](const QueueState& state) {
     const auto found = state.workers().find(registration.id);
-    return found != state.workers().end() && found->second == registration;
+    return found != state.workers().end() &&
+           DescribeAlike(found->second, registration);
   });
   if (known) {
     callback(Success());
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -45,6 +45,9 @@
   for (const auto& [number, wave] : waves_) {
     snapshot.waves.push_back(wave);
   }
+  for (const auto& [id, departed] : departed_workers_) {
+    snapshot.departed_workers.push_back(departed);
+  }
   return codec::Encode(snapshot);
 }
 
@@ -74,6 +77,9 @@
   for (MaintenanceWave& wave : snapshot.waves) {
     state->waves_[wave.number] = std::move(wave);
   }
+  for (DepartedWorker& departed : snapshot.departed_workers) {
+    state->departed_workers_[departed.id] = std::move(departed);
+  }
   return state;
 }
 
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -39,6 +39,7 @@
   std::vector<WorkerRegistration> workers;
   std::vector<JobRecord> jobs;
   std::vector<MaintenanceWave> waves;
+  std::vector<DepartedWorker> departed_workers;
 };
 
 auto Fields(codec::Is<JobStep> auto& v) {
@@ -73,7 +74,11 @@
 auto Fields(codec::Is<WorkerRegistration> auto& v) {
   return std::tie(v.id, v.started_unix_ms, v.machine, v.address, v.pool,
                   v.failure_domain, v.labels, v.capacity.processor_millis,
-                  v.capacity.memory_mib, v.capacity.accelerators, v.draining);
+                  v.capacity.memory_mib, v.capacity.accelerators, v.draining,
+                  v.heartbeat_sequence);
+}
+auto Fields(codec::Is<DepartedWorker> auto& v) {
+  return std::tie(v.id, v.started_unix_ms, v.departed_unix_ms);
 }
 auto Fields(codec::Is<MaintenanceWave> auto& v) {
   return std::tie(v.number, v.machines, v.duration_ms,
@@ -143,7 +148,7 @@
 }
 auto Fields(codec::Is<QueueSnapshot> auto& v) {
   return std::tie(v.version, v.leader_epoch, v.configuration, v.evacuated,
-                  v.workers, v.jobs, v.waves);
+                  v.workers, v.jobs, v.waves, v.departed_workers);
 }
 
 }  // namespace bramleyrail
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -55,10 +55,18 @@
 QueueOutcome QueueState::Handle(const PutWorker& command, int64_t) {
   const WorkerRegistration& added = command.registration;
   const auto current = workers_.find(added.id);
-  // A heartbeat of an earlier incarnation may arrive after a newer incarnation
-  // has registered.
+  // A delayed heartbeat may arrive after a newer one, after a newer incarnation
+  // has registered, or after the worker has left. The leader that takes it may
+  // not have seen the newer one.
   if (current != workers_.end() &&
-      added.started_unix_ms < current->second.started_unix_ms) {
+      std::pair(added.started_unix_ms, added.heartbeat_sequence) <
+          std::pair(current->second.started_unix_ms,
+                    current->second.heartbeat_sequence)) {
+    return {.found = true};
+  }
+  const auto departed = departed_workers_.find(added.id);
+  if (departed != departed_workers_.end() &&
+      added.started_unix_ms <= departed->second.started_unix_ms) {
     return {.found = true};
   }
   // An address belongs to one process, so an older worker with this address no
@@ -68,18 +76,24 @@
            item.second.started_unix_ms <= added.started_unix_ms;
   });
   WorkerRegistration& stored = workers_[added.id];
-  const bool changed = !(stored == added);
+  const bool changed = !DescribeAlike(stored, added);
   stored = added;
   return {.found = true, .changed = changed};
 }
 
-QueueOutcome QueueState::Handle(const RemoveWorker& command, int64_t) {
+QueueOutcome QueueState::Handle(const RemoveWorker& command, int64_t unix_ms) {
   const auto current = workers_.find(command.id);
   if (current == workers_.end() ||
       (command.started_unix_ms != 0 &&
        current->second.started_unix_ms != command.started_unix_ms)) {
     return {};
   }
+  // Only a drained worker certainly leaves. The removal of another one may be a
+  // delayed one of an earlier incarnation.
+  if (current->second.draining && current->second.started_unix_ms != 0) {
+    departed_workers_[command.id] = {command.id,
+                                     current->second.started_unix_ms, unix_ms};
+  }
   workers_.erase(current);
   return {.found = true, .changed = true};
 }
@@ -182,6 +196,9 @@
     return item.second->outcome != JobOutcome::kOpen &&
            item.second->ended_unix_ms < command.unix_ms;
   });
+  std::erase_if(departed_workers_, [&](const auto& item) {
+    return item.second.departed_unix_ms < command.unix_ms;
+  });
   return {.found = true, .changed = erased > 0};
 }
 
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -93,6 +93,7 @@
   QueueConfiguration configuration_;
   std::set<std::string> evacuated_;
   std::map<std::string, WorkerRegistration> workers_;
+  std::map<std::string, DepartedWorker> departed_workers_;  // By id.
   std::map<std::string, std::shared_ptr<QueuedJob>> jobs_;
   std::map<int64_t, MaintenanceWave> waves_;
 };
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -107,6 +107,47 @@
   CHECK(!state.workers().at("w").draining);
 }
 
+// A heartbeat that was delayed beyond a change of the leader put a worker that
+// drains, or that had left, into use again: only the earlier leader remembered
+// the newer heartbeats.
+TEST(QueueState, DelayedHeartbeatDoesNotBringBackAWorkerThatLeaves) {
+  QueueState state;
+  WorkerRegistration worker{.id = "w",
+                            .started_unix_ms = 100,
+                            .address = "10.0.0.1:80",
+                            .heartbeat_sequence = 7};
+  const WorkerRegistration ready = worker;
+  worker.draining = true;
+  worker.heartbeat_sequence = 8;
+  Apply(&state, PutWorker{worker});
+  CHECK(!Apply(&state, PutWorker{ready}).changed);
+  CHECK(state.workers().at("w").draining);
+  Apply(&state, RemoveWorker{"w", 0});
+  // The state of a later leader comes from a snapshot.
+  auto restored = QueueState::FromSnapshot(state.EncodeSnapshot()).value();
+  CHECK(!Apply(restored.get(), PutWorker{ready}).changed);
+  CHECK(!restored->workers().contains("w"));
+  // The worker may start again under its id.
+  worker.started_unix_ms = 200;
+  worker.draining = false;
+  worker.heartbeat_sequence = 1;
+  CHECK(Apply(restored.get(), PutWorker{worker}).changed);
+  CHECK(restored->workers().contains("w"));
+}
+
+// Fails when a removal that was meant for an earlier incarnation keeps the
+// later one out.
+TEST(QueueState, WorkerThatDidNotDrainRegistersAgainAfterARemoval) {
+  QueueState state;
+  const WorkerRegistration worker{.id = "w",
+                                  .started_unix_ms = 100,
+                                  .address = "10.0.0.1:80",
+                                  .heartbeat_sequence = 7};
+  Apply(&state, PutWorker{worker});
+  Apply(&state, RemoveWorker{"w", 0});
+  CHECK(Apply(&state, PutWorker{worker}).changed);
+}
+
 // Fails when a worker stays registered although another process uses its
 // address.
 TEST(QueueState, AddressBelongsToOneWorker) {
--- a/packages/queue/worker_registration.h
+++ b/packages/queue/worker_registration.h
@@ -21,10 +21,26 @@
   std::vector<std::string> labels;  // The kind of the worker, then its rack.
   ResourceAmounts capacity;
   bool draining = false;
+  // Number of the heartbeat that first described the worker so; it rises with
+  // each heartbeat of an incarnation.
+  int64_t heartbeat_sequence = 0;
 
   bool operator==(const WorkerRegistration&) const = default;
 };
 
+// Whether both describe a worker alike, whatever heartbeat said so.
+inline bool DescribeAlike(const WorkerRegistration& a, WorkerRegistration b) {
+  b.heartbeat_sequence = a.heartbeat_sequence;
+  return a == b;
+}
+
+// An incarnation of a worker that was drained and has left.
+struct DepartedWorker {
+  std::string id;
+  int64_t started_unix_ms = 0;
+  int64_t departed_unix_ms = 0;
+};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_QUEUE_WORKER_REGISTRATION_H_
