Dispatch: Renew leases while finished runs are not durable

Cause: a worker got no lease renewal while its finished runs waited for a commit.

Change: a worker whose finished runs are not durable is renewed once a second, with the old acknowledgement, and at once when this leader has granted it no lease yet.

Result: with the old condition both WorkerContact tests of it fail.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -159,6 +159,7 @@
   void StepWorker(TrackedWorker* worker, MonotonicTime now);
   void RetryOrders(TrackedWorker* worker, MonotonicTime now);
   void MoveRunsOffDrainingWorker(TrackedWorker* worker, MonotonicTime now);
+  static bool IsRenewalDue(const TrackedWorker& worker, MonotonicTime now);
   void RenewLease(TrackedWorker* worker, MonotonicTime now);
   // Every run on the worker is known to have ended.
   void RequeueLostRuns(TrackedWorker* worker,
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -18,6 +18,8 @@
 constexpr int kMaximumStartAttempts = 3;
 // Pause between lease renewals to a worker that does not respond.
 constexpr Milliseconds kFailedRenewalPause{200};
+// Pause between lease renewals while finished runs are not durable yet.
+constexpr Milliseconds kRenewalIntervalWithoutDurability{1'000};
 // Orders are not retried when the last response of the worker is older.
 constexpr Milliseconds kMaximumResponseAgeForRetry{2'500};
 // Maximum wait of a lease renewal while a run exceeds its target latency.
@@ -37,8 +39,7 @@
     RequeueLostRuns(
         worker, "the lease expired without a response from the worker", now);
   }
-  if (!worker->renewal_in_flight && !worker->awaiting_durability &&
-      now >= worker->next_renewal) {
+  if (IsRenewalDue(*worker, now)) {
     RenewLease(worker, now);
   }
   RetryOrders(worker, now);
@@ -57,6 +58,17 @@
                         options_.maximum_lease * 51 / 50 + Milliseconds(600);
 }
 
+bool Dispatcher::IsRenewalDue(const TrackedWorker& worker, MonotonicTime now) {
+  if (worker.renewal_in_flight || now < worker.next_renewal) {
+    return false;
+  }
+  // A worker with finished runs that are not acknowledged responds at once, so
+  // the next renewal waits until they are durable. The lease must not expire
+  // while that takes long, though, and one of an earlier leader may soon.
+  return !worker.awaiting_durability || !worker.LeaseDeadline() ||
+         now - worker.last_renewal_sent >= kRenewalIntervalWithoutDurability;
+}
+
 void Dispatcher::RenewLease(TrackedWorker* worker, MonotonicTime now) {
   LeaseRenewalOrder order;
   // A worker that does not respond gets no new lease, so that its current lease
@@ -74,6 +86,7 @@
                                            : options_.renewal_wait;
   }
   worker->renewal_in_flight = true;
+  worker->last_renewal_sent = now;
   ++counters_.lease_renewals;
   orders_.push_back({worker->Address(), order});
 }
--- a/packages/dispatch/tests/worker_restart_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -10,7 +10,7 @@
 constexpr int64_t kUnixMs = 1'000'000;
 
 // A dispatcher with one worker, whose orders and responses the test handles.
-TEST_GROUP(WorkerRestart) {
+TEST_GROUP(WorkerContact) {
   QueueState state_;
   MonotonicTime now_{std::chrono::hours(1)};
   std::unique_ptr<Dispatcher> dispatcher_;
@@ -62,7 +62,7 @@
 // A restarted worker discarded finished runs by an acknowledgement that was
 // meant for its earlier incarnation: a task ran again after its last attempt,
 // or after it was done.
-TEST(WorkerRestart, NothingIsAcknowledgedWithoutContact) {
+TEST(WorkerContact, NothingIsAcknowledgedWithoutContact) {
   Step<LeaseRenewalOrder>(Milliseconds(0));
   ReportedFinishedRun finished;
   finished.number = 7;
@@ -84,7 +84,7 @@
 
 // A start that was meant for the earlier incarnation ran on the later one,
 // while the task was started again elsewhere.
-TEST(WorkerRestart, StartThatTheLaterIncarnationMayRunIsStoppedFirst) {
+TEST(WorkerContact, StartThatTheLaterIncarnationMayRunIsStoppedFirst) {
   SubmitJob job;
   job.id = "job";
   job.queue = "queue";
@@ -116,8 +116,47 @@
   LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
 }
 
+// Pattern: all control instances lost and back. The first lists of the workers
+// held finished runs, which could not become durable until the quorum was
+// repaired; no lease was renewed meanwhile, and 3,380 runs were given up.
+TEST(WorkerContact, LeaseIsRenewedWhileFinishedRunsAreNotDurable) {
+  const auto first = Step<LeaseRenewalOrder>(Milliseconds(0));
+  LONGS_EQUAL(1, first.size());
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run.task = {"job", 0, 0, 0};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  CHECK(dispatcher_->TakeFinishedRuns().number != 0);
+  // A worker that still reports the finished run would respond at once.
+  CHECK(Step<LeaseRenewalOrder>(Milliseconds(500)).empty());
+  const auto next = Step<LeaseRenewalOrder>(Milliseconds(500));
+  LONGS_EQUAL(1, next.size());
+  CHECK(next.front().lease_until_ms.has_value());
+  LONGS_EQUAL(0, next.front().acknowledged_through);
+}
+
+// Fails when a new leader lets the lease of its predecessor expire.
+TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  const auto first = Step<LeaseRenewalOrder>(Milliseconds(0));
+  LONGS_EQUAL(1, first.size());
+  CHECK(!first.front().lease_until_ms.has_value());  // The clock is unknown.
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run.task = {"job", 0, 0, 0};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  const auto next = Step<LeaseRenewalOrder>(Milliseconds(2));
+  LONGS_EQUAL(1, next.size());
+  CHECK(next.front().lease_until_ms.has_value());
+}
+
 // Guards against a start that is sent to a worker which may just be restarting.
-TEST(WorkerRestart, WorkerWithoutContactGetsNoStart) {
+TEST(WorkerContact, WorkerWithoutContactGetsNoStart) {
   Step<LeaseRenewalOrder>(Milliseconds(0));
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown, {},
                                           now_, now_);
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -114,6 +114,7 @@
   bool renewal_in_flight = false;
   MonotonicTime last_response;
   MonotonicTime next_renewal;
+  MonotonicTime last_renewal_sent;
   int failed_renewals = 0;
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
