--- a/packages/worker/tests/worker_server_test.cc
+++ b/packages/worker/tests/worker_server_test.cc
@@ -127,8 +127,11 @@
   poll["known_version"] = Post(&instance, poll)["version"];
   httplib::Client holder("http://" + instance.address());
   holder.set_keep_alive(true);
-  // Its open connection holds the only thread of the pool.
-  CHECK(holder.Post(kPath, kPoll, "application/json"));
+  // Its open connection holds the only thread of the pool, once the thread has
+  // left the connections of the posts above. Until then the holder is refused.
+  while (holder.Post(kPath, kPoll, "application/json")->status != 200) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   httplib::Client other("http://" + instance.address());
   const auto answer = other.Post(kPath, kPoll, "application/json");
   CHECK(answer);
