Http, Control: End only its exchange with an exception of a handler

An exception that a handler did not catch, such as one for a malformed message, left the loop and ended the process. RunHandler() answers 500, logs http_handler_failed and goes on, for requests of connections and relayed ones. Without it AsyncHttp.ExceptionOfAHandlerEndsItsExchangeOnly ends the test program.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -189,10 +189,10 @@
     }
     const HttpHandler& handler =
         request.from_caller ? handle_caller_ : handle_control_;
-    handler(FromRelayed(std::move(request)),
-            [answer = std::move(answer)](HttpResponse response) {
-              answer(EncodeRelayed(ToRelayed(std::move(response))));
-            });
+    RunHandler(handler, FromRelayed(std::move(request)),
+               [answer = std::move(answer)](HttpResponse response) {
+                 answer(EncodeRelayed(ToRelayed(std::move(response))));
+               });
   }
 
   void HandleControl(HttpRequest request, HttpResponder respond) {
--- a/packages/http/async_http_server.cc
+++ b/packages/http/async_http_server.cc
@@ -146,7 +146,6 @@
     OpenRequest& operator=(const OpenRequest&) = delete;
 
     std::shared_ptr<Session> session;
-    bool answered = false;
   };
 
   void Handle(error_code error) {
@@ -167,11 +166,10 @@
     }
     request.body = std::move(message.body());
     auto open = std::make_shared<OpenRequest>(this->shared_from_this());
-    server_->handler_(std::move(request), [open](HttpResponse response) {
-      if (!std::exchange(open->answered, true)) {
-        open->session->Write(std::move(response));
-      }
-    });
+    RunHandler(server_->handler_, std::move(request),
+               [open](HttpResponse response) {
+                 open->session->Write(std::move(response));
+               });
   }
 
   void RefuseUnreadable(error_code error) {
--- a/packages/http/http_events.h
+++ b/packages/http/http_events.h
@@ -7,6 +7,8 @@
 
 inline constexpr LogEventDefinition kHttpAcceptFailed{
     9001, LogSeverity::kWarning, "http_accept_failed"};
+inline constexpr LogEventDefinition kHttpHandlerFailed{
+    9002, LogSeverity::kError, "http_handler_failed"};
 
 }  // namespace bramleyrail
 
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -38,6 +38,12 @@
 // that is destroyed without a call closes the connection.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+// Calls the handler. An exception of the handler ends this exchange with 500
+// and is logged; the process goes on.
+void RunHandler(const HttpHandler& handler,
+                HttpRequest request,
+                HttpResponder respond);
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_HTTP_HTTP_MESSAGE_H_
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <stdexcept>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -309,6 +310,24 @@
   thread.join();
 }
 
+// An exception of one exchange ended the process.
+TEST(AsyncHttp, ExceptionOfAHandlerEndsItsExchangeOnly) {
+  int requests = 0;
+  LoopWithServer loop(
+      [&requests](const HttpRequest&, const HttpResponder& respond) {
+        if (++requests == 1) {
+          throw std::out_of_range("a field is missing");
+        }
+        respond({});
+      });
+  const auto failed = loop.Call(Post("x"), Milliseconds(5'000));
+  CHECK(failed.has_value());
+  LONGS_EQUAL(500, failed.value().status);
+  const auto next = loop.Call(Post("x"), Milliseconds(5'000));
+  CHECK(next.has_value());
+  LONGS_EQUAL(200, next.value().status);
+}
+
 // Guards against memory that a large body takes.
 TEST(AsyncHttp, LargeBodyIsRefused) {
   LoopWithServer loop(
