Dispatch: Acknowledge finished runs in their order

Since leases are renewed while finished runs wait for a commit, a worker can have several batches under way. A later one that became durable first would have acknowledged an earlier one too, and a batch of an earlier incarnation a run of the later one. An acknowledgement now waits for all earlier batches, and those of an ended incarnation acknowledge nothing. Found by reading before a landing; WorkerContact has a test for each.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -81,6 +81,7 @@
     if (worker != nullptr && worker->registration().started_unix_ms !=
                                  registration.started_unix_ms) {
       RequeueRunsOfEndedIncarnation(worker.get(), now);
+      ForgetAcknowledgements(id);
       earlier = std::move(worker);
     }
     if (worker == nullptr) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -167,6 +167,8 @@
                        MonotonicTime now);
   // This incarnation of the worker has ended, and a later one exists.
   void RequeueRunsOfEndedIncarnation(TrackedWorker* worker, MonotonicTime now);
+  // The numbers of finished runs start anew in a later incarnation.
+  void ForgetAcknowledgements(const std::string& worker);
   // Stops runs of the earlier incarnation that the later one may execute.
   void StopInheritedRuns(TrackedWorker* earlier,
                          TrackedWorker* later,
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -145,6 +145,13 @@
   RequeueRuns(worker, ended, "the worker was restarted", now);
 }
 
+void Dispatcher::ForgetAcknowledgements(const std::string& worker) {
+  received_through_.erase(worker);
+  for (auto& [batch, numbers] : unconfirmed_batches_) {
+    numbers.erase(worker);
+  }
+}
+
 void Dispatcher::StopInheritedRuns(TrackedWorker* earlier,
                                    TrackedWorker* later,
                                    MonotonicTime now) {
@@ -237,15 +244,28 @@
   if (found == unconfirmed_batches_.end()) {
     return;
   }
-  for (const auto& [id, number] : found->second) {
+  const std::map<std::string, int64_t> numbers = std::move(found->second);
+  const auto next = unconfirmed_batches_.erase(found);
+  for (const auto& [id, number] : numbers) {
+    // An acknowledgement covers all earlier finished runs of the worker, so it
+    // waits for the earlier batches.
+    const auto earlier = std::find_if(
+        unconfirmed_batches_.begin(), next,
+        [&id = id](const auto& item) { return item.second.contains(id); });
+    if (earlier != next) {
+      earlier->second[id] = number;
+      continue;
+    }
     const auto worker = workers_.find(id);
-    if (worker != workers_.end() &&
-        worker->second->received_through == number) {
-      worker->second->acknowledged_through = number;
-      worker->second->awaiting_durability = false;
+    if (worker == workers_.end()) {
+      continue;
     }
+    TrackedWorker& tracked = *worker->second;
+    tracked.acknowledged_through =
+        std::max(tracked.acknowledged_through, number);
+    tracked.awaiting_durability =
+        tracked.acknowledged_through < tracked.received_through;
   }
-  unconfirmed_batches_.erase(found);
 }
 
 void Dispatcher::HandleLeaseRenewalResponse(
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -137,6 +137,59 @@
   LONGS_EQUAL(0, next.front().acknowledged_through);
 }
 
+// An acknowledgement covers all earlier numbers. Fails when it covers a
+// finished run that is not durable yet, which the next leader would never
+// receive.
+TEST(WorkerContact, FinishedRunsAreAcknowledgedInTheirOrder) {
+  ReportedFinishedRun first;
+  first.number = 1;
+  first.finished_run.task = {"job", 0, 0, 0};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 5'100, .finished = {first}}, now_, now_);
+  const uint64_t first_batch = dispatcher_->TakeFinishedRuns().number;
+  Step<LeaseRenewalOrder>(Milliseconds(1'000));
+  ReportedFinishedRun second;
+  second.number = 2;
+  second.finished_run.task = {"job", 0, 0, 1};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 6'100, .finished = {first, second}}, now_, now_);
+  const uint64_t second_batch = dispatcher_->TakeFinishedRuns().number;
+  dispatcher_->MarkFinishedRunsDurable(second_batch);
+  const auto before = Step<LeaseRenewalOrder>(Milliseconds(1'000));
+  LONGS_EQUAL(1, before.size());
+  LONGS_EQUAL(0, before.front().acknowledged_through);
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          {.clock_ms = 7'100}, now_, now_);
+  dispatcher_->MarkFinishedRunsDurable(first_batch);
+  const auto after = Step<LeaseRenewalOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, after.size());
+  LONGS_EQUAL(2, after.front().acknowledged_through);
+}
+
+// Fails when a durable batch of an earlier incarnation acknowledges finished
+// runs of the later one.
+TEST(WorkerContact, BatchOfAnEarlierIncarnationAcknowledgesNothing) {
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run.task = {"job", 0, 0, 0};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  const uint64_t batch = dispatcher_->TakeFinishedRuns().number;
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  finished.finished_run.task.index = 1;
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 100, .finished = {finished}}, now_, now_);
+  dispatcher_->MarkFinishedRunsDurable(batch);
+  const auto renewals = Step<LeaseRenewalOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, renewals.size());
+  LONGS_EQUAL(0, renewals.front().acknowledged_through);
+}
+
 // Fails when a new leader lets the lease of its predecessor expire.
 TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
