Dispatch: Count on the lease of an earlier leader until it has expired

Cause: a new leader judged by its own grants when the lease of a worker had expired. When the first clock that it saw of a worker was old, for example since the leader was short of processor time, its own lease ended before the one of its predecessor, which the worker keeps. After that the leader started the worker's runs elsewhere while they still ran.

Change: the leases of all workers that are known at the takeover are assumed until the longest one of an earlier leader has expired.

Result: without it WorkerContact.LeaseOfTheEarlierLeaderOutlivesAShorterOne fails.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -93,6 +93,11 @@
       // leader, unless it was restarted before this leader had contact.
       worker->contacted =
           synchronized_ && (earlier == nullptr || earlier->contacted);
+      if (!synchronized_) {
+        // The first clock that this leader sees may be old, and its own lease
+        // then ends before the one that its predecessor granted.
+        worker->AssumeLease(EndOfEarlierLeases());
+      }
       if (earlier != nullptr) {
         StopInheritedRuns(earlier.get(), worker.get(), now);
       }
@@ -202,6 +207,10 @@
   return std::exchange(orders_, {});
 }
 
+MonotonicTime Dispatcher::EndOfEarlierLeases() const {
+  return takeover_time_ + options_.maximum_lease * 51 / 50 + kTakeoverMargin;
+}
+
 bool Dispatcher::AllWorkersContacted(MonotonicTime now) {
   if (all_workers_contacted_) {
     return true;
@@ -212,9 +221,7 @@
   }
   const Milliseconds waited =
       std::chrono::floor<Milliseconds>(now - takeover_time_);
-  all_workers_contacted_ =
-      not_contacted == 0 ||
-      waited > options_.maximum_lease * 51 / 50 + kTakeoverMargin;
+  all_workers_contacted_ = not_contacted == 0 || now > EndOfEarlierLeases();
   if (all_workers_contacted_) {
     LogEvent(kAllWorkersContacted, {{"leadership", leader_epoch_},
                                     {"unheard", not_contacted},
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -179,6 +179,8 @@
                    MonotonicTime now);
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
+  // After this time, all leases that earlier leaders granted have expired.
+  MonotonicTime EndOfEarlierLeases() const;
 
   void HandleFinishedRun(TrackedWorker* worker,
                          const ReportedFinishedRun& reported,
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -50,12 +50,7 @@
 
 bool Dispatcher::AllLeasesExpired(const TrackedWorker& worker,
                                   MonotonicTime now) const {
-  const auto deadline = worker.LeaseDeadline();
-  // When this leader granted no lease, only a lease of an earlier leader can be
-  // valid.
-  return deadline ? now > *deadline
-                  : now - takeover_time_ >
-                        options_.maximum_lease * 51 / 50 + Milliseconds(600);
+  return now > worker.LeaseDeadline().value_or(EndOfEarlierLeases());
 }
 
 bool Dispatcher::IsRenewalDue(const TrackedWorker& worker, MonotonicTime now) {
@@ -65,7 +60,7 @@
   // A worker with finished runs that are not acknowledged responds at once, so
   // the next renewal waits until they are durable. The lease must not expire
   // while that takes long, though, and one of an earlier leader may soon.
-  return !worker.awaiting_durability || !worker.LeaseDeadline() ||
+  return !worker.awaiting_durability || !worker.has_lease() ||
          now - worker.last_renewal_sent >= kRenewalIntervalWithoutDurability;
 }
 
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -190,6 +190,50 @@
   LONGS_EQUAL(0, renewals.front().acknowledged_through);
 }
 
+// A leader that saw an old clock first granted a lease that ended before the
+// one of its predecessor. It counted the worker's runs as lost by its own lease
+// and started them elsewhere, while the worker still ran them.
+TEST(WorkerContact, LeaseOfTheEarlierLeaderOutlivesAShorterOne) {
+  SubmitJob job;
+  job.id = "job";
+  job.queue = "queue";
+  job.pool = "pool";
+  job.specification = FakePool::Job(1, 1);
+  Apply(job);
+  WorkerRegistration other = registration_;
+  other.id = "other";
+  other.address = "10.0.0.2:80";
+  Apply(PutWorker{other});
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  dispatcher_->ObserveClock("w", kUnixMs, 2'000, now_);  // 3 s old.
+  Step<LeaseRenewalOrder>(Milliseconds(0));
+  LeaseRenewalResponse list;
+  list.clock_ms = 2'000;
+  list.running.push_back({{"job", 0, 0, 0}, 1, "", 50, std::nullopt});
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          list, now_, now_);
+  const MonotonicTime takeover = now_;
+  const auto step_without_contact = [&] {
+    dispatcher_->HandleLeaseRenewalResponse(
+        {other.id, other.started_unix_ms, other.address},
+        OrderOutcome::kAccepted, {.clock_ms = 9'000}, now_, now_);
+    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown,
+                                            {}, now_, now_);
+    return Step<StartOrder>(Milliseconds(100)).size();
+  };
+  // The lease that this leader granted ends 5.5 s after the takeover, the
+  // longest of an earlier leader 6.72 s after it.
+  while (now_ < takeover + Milliseconds(6'600)) {
+    LONGS_EQUAL(0, step_without_contact());
+  }
+  size_t starts = 0;
+  while (now_ < takeover + Milliseconds(7'000)) {
+    starts += step_without_contact();
+  }
+  LONGS_EQUAL(1, starts);
+}
+
 // Fails when a new leader lets the lease of its predecessor expire.
 TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -76,12 +76,14 @@
   // while the clock is not known. The worker is assumed to hold the lease from
   // now on.
   std::optional<int64_t> GrantLease(Milliseconds lease, MonotonicTime now);
-  // Assumes that the worker may hold a lease until this time that was meant for
-  // an earlier incarnation.
+  // Assumes that the worker may hold a lease until this time that an earlier
+  // leader granted, or that was meant for an earlier incarnation.
   void AssumeLease(MonotonicTime until) { assumed_until_ = until; }
-  // After this time, all leases that this leader granted have expired. nullopt
-  // when it granted none.
+  // After this time, all leases that were granted or assumed have expired.
+  // nullopt when there is none.
   std::optional<MonotonicTime> LeaseDeadline() const;
+  // Whether this leader has granted a lease.
+  bool has_lease() const { return granted_until_ms_.has_value(); }
 
   // Runs ---------------------------------------------------------------------
   TrackedRun& AddRun(const RunKey& key, TrackedRun run);
