--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -45,6 +45,42 @@
     }
   }
 
+  void SubmitOneTask() {
+    SubmitJob job;
+    job.id = "job";
+    job.queue = "queue";
+    job.pool = "pool";
+    job.maximum_attempts = 4;
+    job.specification = FakePool::Job(1, 1);
+    Apply(job);
+  }
+
+  // The worker lists finished runs with these numbers and nothing else.
+  void ListFinished(int64_t clock_ms, const std::vector<int64_t>& numbers) {
+    LeaseRenewalResponse response;
+    response.clock_ms = clock_ms;
+    for (const int64_t number : numbers) {
+      ReportedFinishedRun finished;
+      finished.number = number;
+      finished.finished_run.task = {"other", 0, 0, number};
+      response.finished.push_back(finished);
+    }
+    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                            response, now_, now_);
+  }
+
+  void FailRenewal() {
+    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown,
+                                            {}, now_, now_);
+  }
+
+  // Returns the only lease renewal that is due after the time has passed.
+  LeaseRenewalOrder StepToRenewal(Milliseconds elapsed) {
+    const std::vector<LeaseRenewalOrder> due = Step<LeaseRenewalOrder>(elapsed);
+    LONGS_EQUAL(1, due.size());
+    return due.front();
+  }
+
   // Returns the orders of one kind that are due after the time has passed.
   template <typename Order>
   std::vector<Order> Step(Milliseconds elapsed) {
@@ -64,34 +100,20 @@
 // or after it was done.
 TEST(WorkerContact, NothingIsAcknowledgedWithoutContact) {
   Step<LeaseRenewalOrder>(Milliseconds(0));
-  ReportedFinishedRun finished;
-  finished.number = 7;
-  finished.finished_run.task = {"job", 0, 0, 0};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  ListFinished(5'100, {7});
   dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
-  const auto renewals = Step<LeaseRenewalOrder>(Milliseconds(100));
-  LONGS_EQUAL(1, renewals.size());
-  LONGS_EQUAL(7, renewals.front().acknowledged_through);
-  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown, {},
-                                          now_, now_);
-  const auto next = Step<LeaseRenewalOrder>(Milliseconds(300));
-  LONGS_EQUAL(1, next.size());
-  LONGS_EQUAL(0, next.front().acknowledged_through);
-  CHECK(!next.front().lease_until_ms.has_value());
+  const LeaseRenewalOrder renewal = StepToRenewal(Milliseconds(100));
+  LONGS_EQUAL(7, renewal.acknowledged_through);
+  FailRenewal();
+  const LeaseRenewalOrder next = StepToRenewal(Milliseconds(300));
+  LONGS_EQUAL(0, next.acknowledged_through);
+  CHECK(!next.lease_until_ms.has_value());
 }
 
 // A start that was meant for the earlier incarnation ran on the later one,
 // while the task was started again elsewhere.
 TEST(WorkerContact, StartThatTheLaterIncarnationMayRunIsStoppedFirst) {
-  SubmitJob job;
-  job.id = "job";
-  job.queue = "queue";
-  job.pool = "pool";
-  job.maximum_attempts = 4;
-  job.specification = FakePool::Job(1, 1);
-  Apply(job);
+  SubmitOneTask();
   LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
   ++registration_.started_unix_ms;
   Apply(PutWorker{registration_});
@@ -120,86 +142,52 @@
 // held finished runs, which could not become durable until the quorum was
 // repaired; no lease was renewed meanwhile, and 3,380 runs were given up.
 TEST(WorkerContact, LeaseIsRenewedWhileFinishedRunsAreNotDurable) {
-  const auto first = Step<LeaseRenewalOrder>(Milliseconds(0));
-  LONGS_EQUAL(1, first.size());
-  ReportedFinishedRun finished;
-  finished.number = 1;
-  finished.finished_run.task = {"job", 0, 0, 0};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  StepToRenewal(Milliseconds(0));
+  ListFinished(5'100, {1});
   CHECK(dispatcher_->TakeFinishedRuns().number != 0);
   // A worker that still reports the finished run would respond at once.
   CHECK(Step<LeaseRenewalOrder>(Milliseconds(500)).empty());
-  const auto next = Step<LeaseRenewalOrder>(Milliseconds(500));
-  LONGS_EQUAL(1, next.size());
-  CHECK(next.front().lease_until_ms.has_value());
-  LONGS_EQUAL(0, next.front().acknowledged_through);
+  const LeaseRenewalOrder next = StepToRenewal(Milliseconds(500));
+  CHECK(next.lease_until_ms.has_value());
+  LONGS_EQUAL(0, next.acknowledged_through);
 }
 
 // An acknowledgement covers all earlier numbers. Fails when it covers a
 // finished run that is not durable yet, which the next leader would never
 // receive.
 TEST(WorkerContact, FinishedRunsAreAcknowledgedInTheirOrder) {
-  ReportedFinishedRun first;
-  first.number = 1;
-  first.finished_run.task = {"job", 0, 0, 0};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 5'100, .finished = {first}}, now_, now_);
+  ListFinished(5'100, {1});
   const uint64_t first_batch = dispatcher_->TakeFinishedRuns().number;
   Step<LeaseRenewalOrder>(Milliseconds(1'000));
-  ReportedFinishedRun second;
-  second.number = 2;
-  second.finished_run.task = {"job", 0, 0, 1};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 6'100, .finished = {first, second}}, now_, now_);
+  ListFinished(6'100, {1, 2});
   const uint64_t second_batch = dispatcher_->TakeFinishedRuns().number;
   dispatcher_->MarkFinishedRunsDurable(second_batch);
-  const auto before = Step<LeaseRenewalOrder>(Milliseconds(1'000));
-  LONGS_EQUAL(1, before.size());
-  LONGS_EQUAL(0, before.front().acknowledged_through);
-  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
-                                          {.clock_ms = 7'100}, now_, now_);
+  const LeaseRenewalOrder before = StepToRenewal(Milliseconds(1'000));
+  LONGS_EQUAL(0, before.acknowledged_through);
+  ListFinished(7'100, {});
   dispatcher_->MarkFinishedRunsDurable(first_batch);
-  const auto after = Step<LeaseRenewalOrder>(Milliseconds(10));
-  LONGS_EQUAL(1, after.size());
-  LONGS_EQUAL(2, after.front().acknowledged_through);
+  const LeaseRenewalOrder after = StepToRenewal(Milliseconds(10));
+  LONGS_EQUAL(2, after.acknowledged_through);
 }
 
 // Fails when a durable batch of an earlier incarnation acknowledges finished
 // runs of the later one.
 TEST(WorkerContact, BatchOfAnEarlierIncarnationAcknowledgesNothing) {
-  ReportedFinishedRun finished;
-  finished.number = 1;
-  finished.finished_run.task = {"job", 0, 0, 0};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
+  ListFinished(5'100, {1});
   const uint64_t batch = dispatcher_->TakeFinishedRuns().number;
   ++registration_.started_unix_ms;
   Apply(PutWorker{registration_});
-  finished.finished_run.task.index = 1;
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 100, .finished = {finished}}, now_, now_);
+  ListFinished(100, {1});
   dispatcher_->MarkFinishedRunsDurable(batch);
-  const auto renewals = Step<LeaseRenewalOrder>(Milliseconds(10));
-  LONGS_EQUAL(1, renewals.size());
-  LONGS_EQUAL(0, renewals.front().acknowledged_through);
+  const LeaseRenewalOrder renewal = StepToRenewal(Milliseconds(10));
+  LONGS_EQUAL(0, renewal.acknowledged_through);
 }
 
 // A leader that saw an old clock first granted a lease that ended before the
 // one of its predecessor. It counted the worker's runs as lost by its own lease
 // and started them elsewhere, while the worker still ran them.
 TEST(WorkerContact, LeaseOfTheEarlierLeaderOutlivesAShorterOne) {
-  SubmitJob job;
-  job.id = "job";
-  job.queue = "queue";
-  job.pool = "pool";
-  job.specification = FakePool::Job(1, 1);
-  Apply(job);
+  SubmitOneTask();
   WorkerRegistration other = registration_;
   other.id = "other";
   other.address = "10.0.0.2:80";
@@ -218,8 +206,7 @@
     dispatcher_->HandleLeaseRenewalResponse(
         {other.id, other.started_unix_ms, other.address},
         OrderOutcome::kAccepted, {.clock_ms = 9'000}, now_, now_);
-    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown,
-                                            {}, now_, now_);
+    FailRenewal();
     return Step<StartOrder>(Milliseconds(100)).size();
   };
   // The lease that this leader granted ends 5.5 s after the takeover, the
@@ -238,31 +225,18 @@
 TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
   dispatcher_->Synchronize(state_, now_);
-  const auto first = Step<LeaseRenewalOrder>(Milliseconds(0));
-  LONGS_EQUAL(1, first.size());
-  CHECK(!first.front().lease_until_ms.has_value());  // The clock is unknown.
-  ReportedFinishedRun finished;
-  finished.number = 1;
-  finished.finished_run.task = {"job", 0, 0, 0};
-  dispatcher_->HandleLeaseRenewalResponse(
-      Address(), OrderOutcome::kAccepted,
-      {.clock_ms = 5'100, .finished = {finished}}, now_, now_);
-  const auto next = Step<LeaseRenewalOrder>(Milliseconds(2));
-  LONGS_EQUAL(1, next.size());
-  CHECK(next.front().lease_until_ms.has_value());
+  const LeaseRenewalOrder first = StepToRenewal(Milliseconds(0));
+  CHECK(!first.lease_until_ms.has_value());  // The clock is unknown.
+  ListFinished(5'100, {1});
+  const LeaseRenewalOrder next = StepToRenewal(Milliseconds(2));
+  CHECK(next.lease_until_ms.has_value());
 }
 
 // Guards against a start that is sent to a worker which may just be restarting.
 TEST(WorkerContact, WorkerWithoutContactGetsNoStart) {
   Step<LeaseRenewalOrder>(Milliseconds(0));
-  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown, {},
-                                          now_, now_);
-  SubmitJob job;
-  job.id = "job";
-  job.queue = "queue";
-  job.pool = "pool";
-  job.specification = FakePool::Job(1, 1);
-  Apply(job);
+  FailRenewal();
+  SubmitOneTask();
   CHECK(Step<StartOrder>(Milliseconds(100)).empty());
 }
 
