--- a/packages/bramleyraild/descriptor_budget.cc
+++ b/packages/bramleyraild/descriptor_budget.cc
@@ -14,11 +14,13 @@
 // platform keeps 200 of a process's descriptors for files.
 constexpr int64_t kReservedDescriptors = 256;
 constexpr int64_t kMinimumDescriptors = 512;
-// Shares of the rest, in percent. A leader needs a connection for the lease
-// renewals of each worker and another one for orders; a worker's heartbeats use
-// one more, and at most one for each other instance.
-constexpr int64_t kPeersPercent = 14;
-constexpr int64_t kServerPercent = 30;
+// Shares of the rest, in percent; orders get what is left. A leader holds a
+// connection to each worker for its lease renewals. Orders need further ones,
+// and a worker without an idle one costs a round trip and the connection of
+// another worker. Heartbeats come every second or two, and a full server closes
+// the connection that is idle for longest.
+constexpr int64_t kPeersPercent = 10;
+constexpr int64_t kServerPercent = 14;
 
 }  // namespace
 
