Dispatch: Read waiting responses before runs count as lost

Cause: the leader judged by its clock that all leases of a worker had expired before it had read the responses that waited for it.

Change: runs count as lost when the expiry is noticed and still holds 100 ms later, after a pass over what has arrived.

Result: without the pause WorkerContact.LaggingLeaderReadsResponsesBeforeRunsCount- AsLost fails.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -178,6 +178,8 @@
                    std::string_view reason,
                    MonotonicTime now);
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
+  // Whether the runs on the worker have ended without a response.
+  bool HasLostRuns(TrackedWorker* worker, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -27,6 +27,8 @@
 // Added to the maximum lease of a worker that was restarted. Covers orders to
 // the earlier incarnation that are on their way.
 constexpr Milliseconds kInheritedLeaseMargin{1'600};
+// Time for reading responses that arrived before all leases have expired.
+constexpr Milliseconds kExpiryConfirmationTime{100};
 // After this many consecutive failures, a worker gets no new runs for the
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
@@ -35,7 +37,7 @@
 }  // namespace
 
 void Dispatcher::StepWorker(TrackedWorker* worker, MonotonicTime now) {
-  if (AllLeasesExpired(*worker, now) && !worker->runs().empty()) {
+  if (HasLostRuns(worker, now)) {
     RequeueLostRuns(
         worker, "the lease expired without a response from the worker", now);
   }
@@ -53,6 +55,19 @@
   return now > worker.LeaseDeadline().value_or(EndOfEarlierLeases());
 }
 
+bool Dispatcher::HasLostRuns(TrackedWorker* worker, MonotonicTime now) const {
+  if (worker->runs().empty() || !AllLeasesExpired(*worker, now)) {
+    worker->expiry_noticed.reset();
+    return false;
+  }
+  // A leader that was paused or short of processor time has responses that it
+  // has not read yet, and they may show that runs were completed.
+  if (!worker->expiry_noticed) {
+    worker->expiry_noticed = now;
+  }
+  return now - *worker->expiry_noticed >= kExpiryConfirmationTime;
+}
+
 bool Dispatcher::IsRenewalDue(const TrackedWorker& worker, MonotonicTime now) {
   if (worker.renewal_in_flight || now < worker.next_renewal) {
     return false;
@@ -305,6 +320,7 @@
   }
   worker->last_response = now;
   worker->next_renewal = now;
+  worker->expiry_noticed.reset();
   worker->ObserveClock(response.clock_ms, now);
   for (const ReportedFinishedRun& reported : response.finished) {
     HandleFinishedRun(worker, reported, now);
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -221,6 +221,38 @@
   LONGS_EQUAL(1, starts);
 }
 
+// A leader that lagged judged by its clock before it had read the responses
+// that waited for it: a task that was done counted as lost and was started
+// again.
+TEST(WorkerContact, LaggingLeaderReadsResponsesBeforeRunsCountAsLost) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  const MonotonicTime sent = now_;
+  Step<StartOrder>(Milliseconds(8'000));
+  LONGS_EQUAL(0, dispatcher_->counters().runs_lost);
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run = {starts.front().task, starts.front().run,
+                           RunOutcome::kDone, ""};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 6'000, .finished = {finished}}, sent, now_);
+  Step<StartOrder>(Milliseconds(200));
+  LONGS_EQUAL(0, dispatcher_->counters().runs_lost);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+  LONGS_EQUAL(0, dispatcher_->ready_task_count());
+}
+
+// Fails when the runs of a worker that stays silent never count as lost.
+TEST(WorkerContact, RunsOfASilentWorkerCountAsLost) {
+  SubmitOneTask();
+  Step<StartOrder>(Milliseconds(10));
+  Step<StartOrder>(Milliseconds(8'000));
+  Step<StartOrder>(Milliseconds(200));
+  LONGS_EQUAL(1, dispatcher_->counters().runs_lost);
+}
+
 // Fails when a new leader lets the lease of its predecessor expire.
 TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -117,6 +117,8 @@
   MonotonicTime last_response;
   MonotonicTime next_renewal;
   MonotonicTime last_renewal_sent;
+  // When the leader first noticed that all leases have expired.
+  std::optional<MonotonicTime> expiry_noticed;
   int failed_renewals = 0;
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
