Dispatch, Http: Satisfy the linter

Cause: clang-tidy, which had not run on these files, reported a pointer used after a move and an unchecked bind(). The pointer was reset by the move in fact; swap() says so. The test server now reports a failed bind. Callers see no change.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -82,7 +82,7 @@
                                  registration.started_unix_ms) {
       RequeueRunsOfEndedIncarnation(worker.get(), now);
       ForgetAcknowledgements(id);
-      earlier = std::move(worker);
+      earlier.swap(worker);
     }
     if (worker == nullptr) {
       worker = std::make_unique<TrackedWorker>(registration);
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -93,7 +93,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (bind(listener_, reinterpret_cast<sockaddr*>(&address),
+             sizeof(address)) != 0) {
+      perror("bind");
+    }
     listen(listener_, 8);
     socklen_t size = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
