Http, Control: Log failed calls and the load of the dispatch loop

http_call_failed gives the time that a failed call spent waiting, connecting and responding, and how late after its deadline it was given up; 20 lines a second at most, the others are counted. dispatch_load gives once a second the leader's steps, their duration, the delay of its timer, and connections and waiting calls.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -14,6 +14,7 @@
 #include "packages/base/json.h"
 #include "packages/base/latency_histogram.h"
 #include "packages/base/log.h"
+#include "packages/base/log_rate_limit.h"
 #include "packages/base/metrics.h"
 #include "packages/base/rcu_pointer.h"
 
--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -140,6 +140,10 @@
         std::min(settings_.maximum_lease - kLeaseReserve, kLongestLease);
     options.job_retention = settings_.job_retention * 2;
     options.call_worker = hooks_.worker_caller(&client_);
+    options.connections = [this] {
+      return std::make_pair(client_.open_connections(),
+                            client_.waiting_calls());
+    };
     dispatch_ = std::make_unique<DispatchLoop>(loop_.get(), queue_.get(),
                                                std::move(options));
     service_ = std::make_unique<ControlService>(loop_.get(), queue_.get(),
--- a/packages/control/control_events.h
+++ b/packages/control/control_events.h
@@ -29,6 +29,8 @@
     9311, LogSeverity::kWarning, "ends_not_recorded"};
 inline constexpr LogEventDefinition kWaveOrdered{9312, LogSeverity::kInfo,
                                                  "wave_ordered"};
+inline constexpr LogEventDefinition kDispatchLoad{9313, LogSeverity::kInfo,
+                                                  "dispatch_load"};
 
 }  // namespace bramleyrail
 
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -1,5 +1,6 @@
 #include "packages/control/dispatch_loop.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "packages/control/control_events.h"
@@ -14,6 +15,11 @@
 constexpr Milliseconds kStepDelay{2};
 constexpr Milliseconds kRecordRetryDelay{50};
 constexpr Milliseconds kPurgeInterval{10'000};
+constexpr Milliseconds kLoadReportInterval{1'000};
+
+int64_t ToMilliseconds(std::chrono::nanoseconds duration) {
+  return std::chrono::round<Milliseconds>(duration).count();
+}
 
 }  // namespace
 
@@ -34,7 +40,14 @@
 }
 
 void DispatchLoop::Tick() {
+  const MonotonicTime now = options_.clock();
+  if (next_tick_ != MonotonicTime()) {
+    load_.longest_delay = std::max<std::chrono::nanoseconds>(
+        load_.longest_delay, now - next_tick_);
+  }
   Step();
+  ReportLoad(options_.clock());
+  next_tick_ = options_.clock() + kTickInterval;
   loop_->RunAfter(kTickInterval, [this, alive = alive_] {
     if (*alive) {
       Tick();
@@ -89,6 +102,37 @@
   }
   ProposeFinishedRuns();
   PurgeOldJobs(now);
+  const std::chrono::nanoseconds duration = options_.clock() - now;
+  ++load_.steps;
+  load_.step_time += duration;
+  load_.longest_step = std::max(load_.longest_step, duration);
+}
+
+void DispatchLoop::ReportLoad(MonotonicTime now) {
+  if (now - last_report_ < kLoadReportInterval) {
+    return;
+  }
+  last_report_ = now;
+  const Load load = std::exchange(load_, {});
+  if (dispatcher_ == nullptr) {
+    return;
+  }
+  const auto [open, waiting] = options_.connections
+                                   ? options_.connections()
+                                   : std::pair<size_t, size_t>();
+  LogEvent(kDispatchLoad,
+           {{"steps", load.steps},
+            {"step_ms", ToMilliseconds(load.step_time)},
+            {"longest_step_ms", ToMilliseconds(load.longest_step)},
+            {"longest_delay_ms", ToMilliseconds(load.longest_delay)},
+            {"responses", load.responses},
+            {"response_ms", ToMilliseconds(load.response_time)},
+            {"starts", load.starts},
+            {"renewals", load.renewals},
+            {"other_orders", load.other_orders},
+            {"connections", open},
+            {"calls_waiting", waiting},
+            {"ready_tasks", dispatcher_->ready_task_count()}});
 }
 
 void DispatchLoop::FollowLeadership() {
@@ -139,6 +183,10 @@
 void DispatchLoop::Send(WorkerOrder order) {
   const MonotonicTime sent = options_.clock();
   const int64_t leader_epoch = dispatcher_->leader_epoch();
+  ++(std::holds_alternative<StartOrder>(order.body) ? load_.starts
+     : std::holds_alternative<LeaseRenewalOrder>(order.body)
+         ? load_.renewals
+         : load_.other_orders);
   options_.call_worker(
       order, leader_epoch,
       // An order may wait for a connection, or this process may be suspended
@@ -186,6 +234,8 @@
           order.worker, response.outcome, response.lease_renewal, sent, now);
     }
   });
+  ++load_.responses;
+  load_.response_time += options_.clock() - now;
   ScheduleStep();
 }
 
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -38,6 +38,8 @@
     // Time for which ended jobs are kept.
     Milliseconds job_retention{300'000};
     WorkerCaller call_worker;
+    // Open connections to workers, and calls that wait for one.
+    std::function<std::pair<size_t, size_t>()> connections;
     MonotonicClock clock = BootTimeNow;
   };
 
@@ -75,6 +77,20 @@
   void ProposeFinishedRuns();
   void ProposeBatch(std::shared_ptr<Dispatcher::FinishedRunBatch> batch);
   void PurgeOldJobs(MonotonicTime now);
+  void ReportLoad(MonotonicTime now);
+
+  // Work of the loop since the last report.
+  struct Load {
+    int64_t steps = 0;
+    std::chrono::nanoseconds step_time{0};
+    std::chrono::nanoseconds longest_step{0};
+    std::chrono::nanoseconds longest_delay{0};
+    int64_t responses = 0;
+    std::chrono::nanoseconds response_time{0};
+    int64_t starts = 0;
+    int64_t renewals = 0;
+    int64_t other_orders = 0;
+  };
 
   IoLoop* const loop_;
   ReplicatedQueue* const queue_;
@@ -87,6 +103,9 @@
   std::atomic<bool> changed_ = true;
   std::atomic<bool> wake_posted_ = false;
   MonotonicTime last_purge_;
+  MonotonicTime next_tick_;
+  MonotonicTime last_report_;
+  Load load_;
 };
 
 }  // namespace bramleyrail
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "packages/http/http_events.h"
 #include "packages/http/socket_address_text.h"
 
 namespace bramleyrail {
@@ -21,6 +22,12 @@
 using boost::system::error_code;
 
 constexpr uint64_t kMaximumResponseBytes = uint64_t{4} * 1024 * 1024;
+// Thousands of calls may fail at once when many servers are cut off.
+constexpr int64_t kFailureLinesPerSecond = 20;
+
+int64_t MillisecondsBetween(MonotonicTime from, MonotonicTime to) {
+  return std::chrono::floor<Milliseconds>(to - from).count();
+}
 
 http::request<http::string_body> EncodeRequest(const std::string& address,
                                                const HttpRequest& request) {
@@ -72,13 +79,18 @@
   HttpConnectionPool::Number number = 0;
   std::shared_ptr<Connection> connection;
   int times_sent = 0;
+  // When the call was made, got a connection, and was last written to it.
+  MonotonicTime created = BootTimeNow();
+  std::optional<MonotonicTime> began;
+  std::optional<MonotonicTime> written;
 };
 
 AsyncHttpClient::AsyncHttpClient(IoLoop* loop, Options options)
     : loop_(loop),
       options_(options),
       alive_(std::make_shared<bool>(true)),
-      pool_(options.connections) {}
+      pool_(options.connections),
+      failure_lines_(kFailureLinesPerSecond) {}
 
 AsyncHttpClient::~AsyncHttpClient() {
   *alive_ = false;
@@ -113,6 +125,7 @@
     return false;
   }
   call->number = grant->connection;
+  call->began = BootTimeNow();
   if (grant->is_new) {
     Connect(call);
   } else {
@@ -224,6 +237,7 @@
     return;
   }
   ++call->times_sent;
+  call->written = BootTimeNow();
   const std::shared_ptr<Connection> connection = call->connection;
   connection->request = EncodeRequest(call->address, call->request);
   connection->parser.emplace();
@@ -275,6 +289,9 @@
 void AsyncHttpClient::Finish(const PendingCallPointer& call,
                              bool reusable,
                              Result<HttpResponse> result) {
+  if (!result) {
+    LogFailure(*call, result.error());
+  }
   call->connection->used_before = true;
   call->connection->stream.expires_never();
   call->connection.reset();
@@ -287,6 +304,7 @@
 void AsyncHttpClient::Fail(const PendingCallPointer& call,
                            ErrorKind kind,
                            std::string_view reason) {
+  LogFailure(*call, CallError(*call, kind, reason));
   loop_->Post([call, error = CallError(*call, kind, reason)] {
     call->callback(error);
   });
@@ -307,6 +325,32 @@
           : "look up the outcome before repeating the call");
 }
 
+void AsyncHttpClient::LogFailure(const PendingCall& call, const Error& error) {
+  const MonotonicTime now = BootTimeNow();
+  if (!failure_lines_.Allow(now)) {
+    return;
+  }
+  std::string_view phase = "waiting";
+  if (call.began) {
+    phase = call.written ? "responding" : "connecting";
+  }
+  const MonotonicTime began = call.began.value_or(now);
+  const MonotonicTime written = call.written.value_or(now);
+  LogEvent(
+      kHttpCallFailed,
+      {{"address", call.address},
+       {"target", call.request.target},
+       {"phase", phase},
+       {"waited_ms", MillisecondsBetween(call.created, began)},
+       {"connect_ms", MillisecondsBetween(began, written)},
+       {"response_ms", MillisecondsBetween(written, now)},
+       {"late_ms", MillisecondsBetween(call.deadline, now)},
+       {"reused", call.connection != nullptr && call.connection->used_before},
+       {"times_sent", call.times_sent},
+       {"suppressed", failure_lines_.TakeSuppressed()},
+       {"error", error.ToString()}});
+}
+
 void AsyncHttpClient::CloseRemoved() {
   for (const HttpConnectionPool::Number number : pool_.TakeRemoved()) {
     connections_.erase(number);
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -81,6 +81,7 @@
   static Error CallError(const PendingCall& call,
                          ErrorKind kind,
                          std::string_view reason);
+  void LogFailure(const PendingCall& call, const Error& error);
   void CloseRemoved();
 
   void Wait(const PendingCallPointer& call);
@@ -103,6 +104,7 @@
   std::deque<std::string> waiting_addresses_;
   size_t waiting_calls_ = 0;
   uint64_t connections_opened_ = 0;
+  LogRateLimit failure_lines_;
 };
 
 }  // namespace bramleyrail
--- a/packages/http/http_events.h
+++ b/packages/http/http_events.h
@@ -9,6 +9,8 @@
     9001, LogSeverity::kWarning, "http_accept_failed"};
 inline constexpr LogEventDefinition kHttpHandlerFailed{
     9002, LogSeverity::kError, "http_handler_failed"};
+inline constexpr LogEventDefinition kHttpCallFailed{9003, LogSeverity::kWarning,
+                                                    "http_call_failed"};
 
 }  // namespace bramleyrail
 
