Queue, Dispatch: Follow only those parts of the state that changed

Change: QueueState gives a revision of its workers and one of its open jobs, and the dispatcher compares them first.

Test: QueueState.RevisionsFollowWorkersAndOpenJobs.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -61,8 +61,14 @@
 }
 
 void Dispatcher::Synchronize(const QueueState& state, MonotonicTime now) {
-  SynchronizeWorkers(state, now);
-  SynchronizeJobs(state, now);
+  if (workers_revision_ != state.workers_revision()) {
+    workers_revision_ = state.workers_revision();
+    SynchronizeWorkers(state, now);
+  }
+  if (jobs_revision_ != state.jobs_revision()) {
+    jobs_revision_ = state.jobs_revision();
+    SynchronizeJobs(state, now);
+  }
   if (!synchronized_) {
     synchronized_ = true;
     LogEvent(kLeadershipStarted, {{"leadership", leader_epoch_},
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -232,3 +232,6 @@
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_DISPATCHER_H_
+  // Of the state that was last applied.
+  uint64_t workers_revision_ = 0;
+  uint64_t jobs_revision_ = 0;
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -1,6 +1,7 @@
 #include "packages/queue/queue_state.h"
 
 #include <algorithm>
+#include <atomic>
 
 namespace bramleyrail {
 
@@ -20,8 +21,16 @@
          task.index < job.steps[task.step].tasks;
 }
 
+uint64_t NextRevision() {
+  static std::atomic<uint64_t> last{0};
+  return ++last;
+}
+
 }  // namespace
 
+QueueState::QueueState()
+    : workers_revision_(NextRevision()), jobs_revision_(NextRevision()) {}
+
 QueueOutcome QueueState::Apply(const QueueCommand& command) {
   return std::visit(
       [&](const auto& body) { return Handle(body, command.proposed_unix_ms); },
@@ -75,6 +84,7 @@
     return item.first != added.id && item.second.address == added.address &&
            item.second.started_unix_ms <= added.started_unix_ms;
   });
+  workers_revision_ = NextRevision();
   WorkerRegistration& stored = workers_[added.id];
   const bool changed = !DescribeAlike(stored, added);
   stored = added;
@@ -95,6 +105,7 @@
                                      current->second.started_unix_ms, unix_ms};
   }
   workers_.erase(current);
+  workers_revision_ = NextRevision();
   return {.found = true, .changed = true};
 }
 
@@ -115,6 +126,7 @@
   job->submitted_unix_ms = unix_ms;
   job->unfinished_tasks = TaskCount(command.specification);
   position->second = std::move(job);
+  jobs_revision_ = NextRevision();
   return {.found = true, .changed = true};
 }
 
@@ -189,6 +201,7 @@
   job->ended_unix_ms = unix_ms;
   job->progress.clear();
   job->specification.payload.clear();
+  jobs_revision_ = NextRevision();
 }
 
 QueueOutcome QueueState::Handle(const PurgeJobsEndedBefore& command, int64_t) {
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -50,6 +50,8 @@
 // and their effect depends only on the state and the command.
 class QueueState {
  public:
+  QueueState();
+
   QueueOutcome Apply(const QueueCommand& command);
 
   const QueueConfiguration& configuration() const { return configuration_; }
@@ -64,6 +66,10 @@
     return jobs_;
   }
   const QueuedJob* FindJob(const std::string& id) const;
+  // Change with the registrations of workers, and with the set of open jobs.
+  // No two states of a process share a value for different content.
+  uint64_t workers_revision() const { return workers_revision_; }
+  uint64_t jobs_revision() const { return jobs_revision_; }
   const std::map<int64_t, MaintenanceWave>& waves() const { return waves_; }
   int64_t leader_epoch() const { return leader_epoch_; }
 
@@ -87,7 +93,7 @@
   QueueOutcome Handle(const ReadBarrier& command, int64_t unix_ms);
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
   static void MarkDone(const TaskName& task, QueuedJob* job);
-  static void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
+  void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
 
   int64_t leader_epoch_ = 0;
   QueueConfiguration configuration_;
@@ -96,6 +102,8 @@
   std::map<std::string, DepartedWorker> departed_workers_;  // By id.
   std::map<std::string, std::shared_ptr<QueuedJob>> jobs_;
   std::map<int64_t, MaintenanceWave> waves_;
+  uint64_t workers_revision_;
+  uint64_t jobs_revision_;
 };
 
 }  // namespace bramleyrail
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -65,6 +65,40 @@
   CHECK(state.FindJob("a")->outcome == JobOutcome::kCompleted);
 }
 
+// Fails when a leader misses a change of the workers or of the open jobs, which
+// it recognizes by the revisions.
+TEST(QueueState, RevisionsFollowWorkersAndOpenJobs) {
+  QueueState state;
+  uint64_t workers = state.workers_revision();
+  uint64_t jobs = state.jobs_revision();
+  const auto check = [&](bool workers_changed, bool jobs_changed) {
+    CHECK_EQUAL(workers_changed, workers != state.workers_revision());
+    CHECK_EQUAL(jobs_changed, jobs != state.jobs_revision());
+    workers = state.workers_revision();
+    jobs = state.jobs_revision();
+  };
+  WorkerRegistration worker;
+  worker.id = "w";
+  worker.started_unix_ms = 1;
+  Apply(&state, PutWorker{worker});
+  check(true, false);
+  ++worker.heartbeat_sequence;
+  worker.draining = true;
+  Apply(&state, PutWorker{worker});
+  check(true, false);
+  Apply(&state, RemoveWorker{"w", 1});
+  check(true, false);
+  Apply(&state, Submission("a"));
+  check(false, true);
+  Apply(&state,
+        RecordFinishedRuns{{Finished({"a", 0, 0, 0}, 1, RunOutcome::kFailed)}});
+  check(false, false);
+  Apply(&state,
+        RecordFinishedRuns{{Finished({"a", 0, 0, 0}, 2, RunOutcome::kFailed)}});
+  check(false, true);
+  CHECK(state.jobs_revision() != QueueState().jobs_revision());
+}
+
 // Fails when one failure counts twice because a new leader records a finished
 // run that an earlier leader recorded just before it lost the leadership.
 TEST(QueueState, FailureOfARunCountsOnce) {
