Control: Leave time for responses between steps of the dispatcher

Cause: the leader began a step 2 ms after any response, and at every tick, so steps that took long followed each other and responses of workers stayed unread past the time-outs of their calls. Each step also searched all runs of all workers for orders without a response.

Change: a pause as long as the step before it, of 2 to 100 ms, follows each step; the search happens every 50 ms for each worker.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -12,7 +12,10 @@
 // Timers of the dispatcher are at least 50 ms long.
 constexpr Milliseconds kTickInterval{25};
 // Responses that arrive within this time are handled before one common step.
-constexpr Milliseconds kStepDelay{2};
+constexpr std::chrono::nanoseconds kMinimumStepPause{Milliseconds(2)};
+// A pause as long as the step before it leaves half of the processor time to
+// the responses, but never holds up a step by more than this.
+constexpr std::chrono::nanoseconds kMaximumStepPause{Milliseconds(100)};
 constexpr Milliseconds kRecordRetryDelay{50};
 constexpr Milliseconds kPurgeInterval{10'000};
 constexpr Milliseconds kLoadReportInterval{1'000};
@@ -45,7 +48,7 @@
     load_.longest_delay = std::max<std::chrono::nanoseconds>(
         load_.longest_delay, now - next_tick_);
   }
-  Step();
+  ScheduleStep();
   ReportLoad(options_.clock());
   next_tick_ = options_.clock() + kTickInterval;
   loop_->RunAfter(kTickInterval, [this, alive = alive_] {
@@ -72,12 +75,15 @@
   if (std::exchange(step_scheduled_, true)) {
     return;
   }
-  loop_->RunAfter(kStepDelay, [this, alive = alive_] {
-    if (*alive) {
-      step_scheduled_ = false;
-      Step();
-    }
-  });
+  const std::chrono::nanoseconds pause =
+      std::clamp(last_step_duration_, kMinimumStepPause, kMaximumStepPause);
+  loop_->RunAfter(std::chrono::ceil<Milliseconds>(pause),
+                  [this, alive = alive_] {
+                    if (*alive) {
+                      step_scheduled_ = false;
+                      Step();
+                    }
+                  });
 }
 
 void DispatchLoop::Step() {
@@ -106,6 +112,7 @@
   ++load_.steps;
   load_.step_time += duration;
   load_.longest_step = std::max(load_.longest_step, duration);
+  last_step_duration_ = duration;
 }
 
 void DispatchLoop::ReportLoad(MonotonicTime now) {
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -104,6 +104,7 @@
   std::atomic<bool> wake_posted_ = false;
   MonotonicTime last_purge_;
   MonotonicTime next_tick_;
+  std::chrono::nanoseconds last_step_duration_{0};
   MonotonicTime last_report_;
   Load load_;
 };
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Pause between searches for orders without a response. Steps follow each other
+// more often, and a search visits every run.
+constexpr Milliseconds kOrderCheckInterval{50};
 // Minimum time between two sends of an order whose response is missing.
 constexpr Milliseconds kOrderRetryInterval{100};
 constexpr Milliseconds kStopRetryInterval{500};
@@ -102,9 +105,11 @@
 }
 
 void Dispatcher::RetryOrders(TrackedWorker* worker, MonotonicTime now) {
-  if (now - worker->last_response > kMaximumResponseAgeForRetry) {
+  if (now < worker->next_order_check ||
+      now - worker->last_response > kMaximumResponseAgeForRetry) {
     return;
   }
+  worker->next_order_check = now + kOrderCheckInterval;
   for (auto& [key, run] : worker->runs()) {
     if (run.order_in_flight ||
         now - run.last_order_sent < kOrderRetryInterval) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -129,6 +129,8 @@
   int64_t acknowledged_through = 0;
   // Received finished runs are not durable yet.
   bool awaiting_durability = false;
+  // Earliest time to look for orders without a response again.
+  MonotonicTime next_order_check;
   // The worker gets no new runs before this time.
   MonotonicTime avoid_until;
   int consecutive_failures = 0;
