Http: Count what has arrived by the time a late loop looks

When the loop was late, the time-out of the beast stream closed sockets whose response or completed connection waited in the kernel. The call failed with kOutcomeUnknown, its connection was lost, and the next lease renewal had to connect again.

Change: a connection has a deadline timer of its own. When it fires, the client reads what the socket holds; only a response that is still incomplete ends the call. A connection attempt that the kernel has ended is left to its completion. Requests and responses go through the socket without waiting, and the loop only reports readiness, so that no part of a response is inside a queued operation when the deadline is looked at. A server that trickles bytes gains no time. A request past its deadline is still not sent; its connection is kept.

--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -1,8 +1,11 @@
 #include "packages/http/async_http_client.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -24,6 +27,9 @@
 constexpr uint64_t kMaximumResponseBytes = uint64_t{4} * 1024 * 1024;
 // Thousands of calls may fail at once when many servers are cut off.
 constexpr int64_t kFailureLinesPerSecond = 20;
+// Pause between looks at a connection that was established and whose completion
+// waits in the loop.
+constexpr Milliseconds kLookAgainDelay{20};
 
 int64_t MillisecondsBetween(MonotonicTime from, MonotonicTime to) {
   return std::chrono::floor<Milliseconds>(to - from).count();
@@ -51,11 +57,37 @@
 
 class AsyncHttpClient::Connection {
  public:
-  explicit Connection(IoLoop* loop) : stream(loop->context()) {}
+  explicit Connection(IoLoop* loop)
+      : socket(loop->context()), deadline(loop->context()) {}
 
-  beast::tcp_stream stream;
+  // Ends pending operations, which would otherwise keep the connection.
+  void Close() {
+    error_code ignored;
+    socket.close(ignored);
+    deadline.cancel();
+  }
+  // Reads what has arrived; would_block unless that completes the response.
+  error_code ReadArrived() {
+    error_code error;
+    http::read(socket, buffer, *parser, error);
+    return error;
+  }
+  // Whether the kernel has ended the attempt to connect, even when the loop
+  // hasn't come to it.
+  bool HasConnectResult() {
+    pollfd descriptor{socket.native_handle(), POLLOUT, 0};
+    return poll(&descriptor, 1, 0) > 0;
+  }
+
+  // Read and written without waiting, never by operations of the loop: those
+  // could hold a part of a response when the deadline is looked at.
+  tcp::socket socket;
+  // Of connecting, then of the response.
+  boost::asio::steady_timer deadline;
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
+  std::optional<http::request_serializer<http::string_body>> serializer;
+  // Empty until the first request is written.
   std::optional<http::response_parser<http::string_body>> parser;
   bool used_before = false;
 };
@@ -94,6 +126,9 @@
 
 AsyncHttpClient::~AsyncHttpClient() {
   *alive_ = false;
+  for (const auto& [number, connection] : connections_) {
+    connection->Close();
+  }
 }
 
 void AsyncHttpClient::Call(const std::string& address,
@@ -205,61 +240,135 @@
     return;
   }
   ++connections_opened_;
-  beast::tcp_stream& stream = call->connection->stream;
-  stream.expires_after(std::min(call->Remaining(), options_.connect_timeout));
-  stream.async_connect(endpoint.value(), [this, alive = alive_,
-                                          call](error_code error) {
-    if (!*alive) {
-      return;
-    }
-    if (error) {
-      const ErrorKind kind = error == boost::asio::error::connection_refused
-                                 ? ErrorKind::kNotFound
-                                 : ErrorKind::kUnavailable;
-      Finish(call, /*reusable=*/false, CallError(*call, kind, error.message()));
-      return;
-    }
-    error_code ignored;  // A delay is no fault.
-    call->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    Exchange(call);
-  });
+  SetDeadline(call, std::min(call->Remaining(), options_.connect_timeout));
+  call->connection->socket.async_connect(
+      endpoint.value(), WhileInUse(call, [this, call](const error_code& error) {
+        HandleConnected(call, error);
+      }));
+}
+
+void AsyncHttpClient::HandleConnected(const PendingCallPointer& call,
+                                      error_code error) {
+  tcp::socket& socket = call->connection->socket;
+  if (!error) {
+    socket.non_blocking(true, error);
+  }
+  if (error) {
+    const ErrorKind kind = error == boost::asio::error::connection_refused
+                               ? ErrorKind::kNotFound
+                               : ErrorKind::kUnavailable;
+    Finish(call, /*reusable=*/false, CallError(*call, kind, error.message()));
+    return;
+  }
+  error_code ignored;  // A delay is no fault.
+  socket.set_option(tcp::no_delay(true), ignored);
+  Exchange(call);
 }
 
 void AsyncHttpClient::Exchange(const PendingCallPointer& call) {
   if (!call->MayBeSent()) {
-    loop_->Post([this, alive = alive_, call] {
-      if (*alive) {
-        Finish(call, /*reusable=*/true,
-               CallError(*call, ErrorKind::kUnavailable,
-                         "the call may not be sent any more"));
-      }
-    });
+    loop_->Post([finish = WhileInUse(call, [this, call](const error_code&) {
+                   Finish(call, /*reusable=*/true,
+                          CallError(*call, ErrorKind::kUnavailable,
+                                    "the call may not be sent any more"));
+                 })] { finish({}); });
     return;
   }
   ++call->times_sent;
   call->written = BootTimeNow();
-  const std::shared_ptr<Connection> connection = call->connection;
-  connection->request = EncodeRequest(call->address, call->request);
-  connection->parser.emplace();
-  connection->parser->body_limit(kMaximumResponseBytes);
-  connection->stream.expires_after(call->Remaining());
-  const auto finish = [this, alive = alive_, call,
-                       connection](error_code error) {
-    if (*alive) {
-      HandleExchanged(call, error);
-    }
-  };
-  http::async_write(
-      connection->stream, connection->request,
-      [connection, finish](error_code error, size_t) {
-        if (error) {
-          finish(error);
+  Connection& connection = *call->connection;
+  connection.request = EncodeRequest(call->address, call->request);
+  connection.serializer.emplace(connection.request);
+  connection.parser.emplace();
+  connection.parser->body_limit(kMaximumResponseBytes);
+  SetDeadline(call, call->Remaining());
+  Write(call);
+}
+
+void AsyncHttpClient::Write(const PendingCallPointer& call) {
+  Connection& connection = *call->connection;
+  error_code error;
+  http::write(connection.socket, *connection.serializer, error);
+  if (!error) {
+    AwaitResponse(call);
+    return;
+  }
+  if (error == boost::asio::error::would_block) {
+    connection.socket.async_wait(
+        tcp::socket::wait_write,
+        WhileInUse(call, [this, call](const error_code& wait_error) {
+          if (wait_error) {
+            HandleExchanged(call, wait_error);
+            return;
+          }
+          Write(call);
+        }));
+    return;
+  }
+  // The caller may be inside Call().
+  loop_->Post([error, handle = WhileInUse(
+                          call, [this, call](const error_code& write_error) {
+                            HandleExchanged(call, write_error);
+                          })] { handle(error); });
+}
+
+void AsyncHttpClient::AwaitResponse(const PendingCallPointer& call) {
+  call->connection->socket.async_wait(
+      tcp::socket::wait_read,
+      WhileInUse(call, [this, call](const error_code& wait_error) {
+        const error_code error =
+            wait_error ? wait_error : call->connection->ReadArrived();
+        if (error == boost::asio::error::would_block) {
+          AwaitResponse(call);
           return;
         }
-        http::async_read(
-            connection->stream, connection->buffer, *connection->parser,
-            [finish](error_code read_error, size_t) { finish(read_error); });
-      });
+        HandleExchanged(call, error);
+      }));
+}
+
+void AsyncHttpClient::SetDeadline(const PendingCallPointer& call,
+                                  Milliseconds delay) {
+  boost::asio::steady_timer& deadline = call->connection->deadline;
+  deadline.expires_after(delay);
+  deadline.async_wait(WhileInUse(
+      call, [this, call, expiry = deadline.expiry()](const error_code& error) {
+        // A timer that expired before it was set anew still runs its handler.
+        if (!error && call->connection->deadline.expiry() == expiry) {
+          HandleDeadline(call);
+        }
+      }));
+}
+
+// The loop may be late. What the kernel has received by now counts as in time,
+// and nothing more, so that a server that trickles bytes gains no time.
+void AsyncHttpClient::HandleDeadline(const PendingCallPointer& call) {
+  Connection& connection = *call->connection;
+  error_code error = beast::error::timeout;
+  if (connection.parser) {
+    if (connection.serializer->is_done()) {
+      const error_code result = connection.ReadArrived();
+      error = result == boost::asio::error::would_block ? error : result;
+    }
+    HandleExchanged(call, error);
+    return;
+  }
+  if (connection.HasConnectResult()) {
+    SetDeadline(call, kLookAgainDelay);
+    return;
+  }
+  Finish(call, /*reusable=*/false,
+         CallError(*call, ErrorKind::kUnavailable, error.message()));
+}
+
+AsyncHttpClient::Handler AsyncHttpClient::WhileInUse(
+    const PendingCallPointer& call,
+    Handler handler) {
+  return [alive = alive_, call, connection = call->connection,
+          handler = std::move(handler)](const error_code& error) {
+    if (*alive && call->connection == connection) {
+      handler(error);
+    }
+  };
 }
 
 void AsyncHttpClient::HandleExchanged(const PendingCallPointer& call,
@@ -279,6 +388,7 @@
   const bool stale = connection.used_before && error != beast::error::timeout &&
                      !connection.parser->got_some();
   if (stale) {
+    connection.Close();
     Connect(call);
     return;
   }
@@ -293,7 +403,9 @@
     LogFailure(*call, result.error());
   }
   call->connection->used_before = true;
-  call->connection->stream.expires_never();
+  call->connection->deadline.cancel();
+  error_code ignored;
+  call->connection->socket.cancel(ignored);
   call->connection.reset();
   pool_.Release(call->number, reusable, BootTimeNow());
   CloseRemoved();
@@ -353,7 +465,9 @@
 
 void AsyncHttpClient::CloseRemoved() {
   for (const HttpConnectionPool::Number number : pool_.TakeRemoved()) {
-    connections_.erase(number);
+    const auto found = connections_.find(number);
+    found->second->Close();
+    connections_.erase(found);
   }
 }
 
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -42,10 +42,12 @@
 
   // Calls `address` ("10.0.0.1:8080"). `may_send` runs just before the request
   // is written, which may be long after Call(). The callback runs once, never
-  // inside Call(): kUnavailable when the request was not sent, kNotFound when
-  // moreover the connection was refused, kOutcomeUnknown when it may have been
-  // executed. A call may be sent twice when a kept connection turns out to be
-  // closed, so it must be idempotent; HttpResponse::sent_twice tells.
+  // inside Call(), after `timeout` or when the loop comes to it: a response
+  // that has arrived by then counts. kUnavailable when the request was not
+  // sent, kNotFound when moreover the connection was refused, kOutcomeUnknown
+  // when it may have been executed. A call may be sent twice when a kept
+  // connection turns out to be closed, so it must be idempotent;
+  // HttpResponse::sent_twice tells.
   void Call(const std::string& address,
             HttpRequest request,
             Milliseconds timeout,
@@ -63,11 +65,21 @@
   class Connection;
   struct PendingCall;
   using PendingCallPointer = std::shared_ptr<PendingCall>;
+  using Handler = std::function<void(const boost::system::error_code&)>;
 
   // Returns false when the bounds allow no connection.
   bool Begin(const PendingCallPointer& call);
   void Connect(const PendingCallPointer& call);
+  void HandleConnected(const PendingCallPointer& call,
+                       boost::system::error_code error);
   void Exchange(const PendingCallPointer& call);
+  void Write(const PendingCallPointer& call);
+  void AwaitResponse(const PendingCallPointer& call);
+  void SetDeadline(const PendingCallPointer& call, Milliseconds delay);
+  void HandleDeadline(const PendingCallPointer& call);
+  // Returns a handler that does nothing after the call has left the connection
+  // that it uses now.
+  Handler WhileInUse(const PendingCallPointer& call, Handler handler);
   void HandleExchanged(const PendingCallPointer& call,
                        const boost::system::error_code& error);
   // Ends the use of the call's connection and reports the result.
