Dispatch: Ask a silent worker once more before its runs count as lost

Cause: the leader's loop was 0.3 to 0.5 s late, and its lease renewals to a sound worker timed out although the worker had answered each of them. Runs counted as lost 100 ms after the leader noticed the end of the last lease, by its clock alone. A task whose end the worker had listed as done started again on another worker.

Change: after all leases have expired, runs count as lost only when a lease renewal that was sent after the leader noticed the expiry has ended without a response. To a worker whose renewals fail it is sent at once, beside an earlier one that is in flight, without a lease, an acknowledgement and a wait. One that was not sent counts from the second one and from 2 s on. A worker that responds is reconciled from its lists.

Tests: FakePool loses responses of executed orders, lets the leader pause and discard responses that it reads after the time-out, uses the real time of sending, and treats a start of a task that a response lists as done as a violation, unless the lease lapsed between the end and its listing. A loss of all responses of a worker remains a reason to start its tasks again. Delivery moves to a file of its own.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -178,8 +178,12 @@
                    std::string_view reason,
                    MonotonicTime now);
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
-  // Whether the runs on the worker have ended without a response.
+  // Whether all leases have expired and the worker does not respond any more.
   bool HasLostRuns(TrackedWorker* worker, MonotonicTime now) const;
+  static void RecordFailedRenewal(TrackedWorker* worker,
+                                  OrderOutcome outcome,
+                                  MonotonicTime sent,
+                                  MonotonicTime now);
   bool AllWorkersContacted(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -29,6 +29,13 @@
 constexpr Milliseconds kInheritedLeaseMargin{1'600};
 // Time for reading responses that arrived before all leases have expired.
 constexpr Milliseconds kExpiryConfirmationTime{100};
+// A lease renewal that was not sent may have lacked a free connection on this
+// side, or the worker's machine may be unreachable. It counts as one without a
+// response from this number and this time since the expiry on, so that the runs
+// of an unreachable machine do not wait for ever. The time covers two calls
+// that wait for a connection until their time-out.
+constexpr int kMaximumUnsentRenewals = 2;
+constexpr Milliseconds kUnsentRenewalTime{2'000};
 // After this many consecutive failures, a worker gets no new runs for the
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
@@ -57,18 +64,48 @@
 
 bool Dispatcher::HasLostRuns(TrackedWorker* worker, MonotonicTime now) const {
   if (worker->runs().empty() || !AllLeasesExpired(*worker, now)) {
-    worker->expiry_noticed.reset();
+    worker->expiry_check.reset();
     return false;
   }
-  // A leader that was paused or short of processor time has responses that it
-  // has not read yet, and they may show that runs were completed.
-  if (!worker->expiry_noticed) {
-    worker->expiry_noticed = now;
+  // A leader that lags has responses that it has not read yet, or discards them
+  // after the time-out of the call, and they may show that runs were completed.
+  // Only a lease renewal that was sent after the expiry was noticed shows that
+  // the worker is silent.
+  if (!worker->expiry_check) {
+    worker->expiry_check = ExpiryCheck{.noticed = now};
+  }
+  return worker->expiry_check->unanswered &&
+         now - worker->expiry_check->noticed >= kExpiryConfirmationTime;
+}
+
+void Dispatcher::RecordFailedRenewal(TrackedWorker* worker,
+                                     OrderOutcome outcome,
+                                     MonotonicTime sent,
+                                     MonotonicTime now) {
+  ++worker->failed_renewals;
+  worker->next_renewal = now + kFailedRenewalPause;
+  if (!worker->expiry_check || sent < worker->expiry_check->noticed) {
+    return;
+  }
+  ExpiryCheck& check = *worker->expiry_check;
+  if (outcome != OrderOutcome::kNotSent) {
+    check.unanswered = true;
+    return;
+  }
+  ++check.unsent_renewals;
+  if (check.unsent_renewals >= kMaximumUnsentRenewals &&
+      now - check.noticed >= kUnsentRenewalTime) {
+    check.unanswered = true;
   }
-  return now - *worker->expiry_noticed >= kExpiryConfirmationTime;
 }
 
 bool Dispatcher::IsRenewalDue(const TrackedWorker& worker, MonotonicTime now) {
+  // Runs wait for the outcome of a renewal that was sent after the expiry, so
+  // it does not wait for an earlier one or for the pause after a failure.
+  if (worker.failed_renewals > 0 && worker.expiry_check &&
+      worker.last_renewal_sent < worker.expiry_check->noticed) {
+    return true;
+  }
   if (worker.renewal_in_flight || now < worker.next_renewal) {
     return false;
   }
@@ -288,14 +325,16 @@
   if (worker == nullptr) {
     return;
   }
-  worker->renewal_in_flight = false;
+  // Two renewals may be in flight after the leases have expired.
+  if (sent >= worker->last_renewal_sent) {
+    worker->renewal_in_flight = false;
+  }
   if (outcome == OrderOutcome::kFenced) {
     superseded_ = true;
     return;
   }
   if (outcome != OrderOutcome::kAccepted) {
-    ++worker->failed_renewals;
-    worker->next_renewal = now + kFailedRenewalPause;
+    RecordFailedRenewal(worker, outcome, sent, now);
     if (outcome == OrderOutcome::kWrongWorker ||
         (outcome == OrderOutcome::kConnectionRefused && worker->deregistered)) {
       RequeueLostRuns(worker, "the worker has ended", now);
@@ -320,7 +359,7 @@
   }
   worker->last_response = now;
   worker->next_renewal = now;
-  worker->expiry_noticed.reset();
+  worker->expiry_check.reset();
   worker->ObserveClock(response.clock_ms, now);
   for (const ReportedFinishedRun& reported : response.finished) {
     HandleFinishedRun(worker, reported, now);
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -18,9 +18,11 @@
 
 // Workers, a replicated state and the leaders' dispatchers in one thread, with
 // a simulated clock. Orders and responses may be lost, delayed or reordered,
-// and workers may be partitioned from the leader, crash and restart. Checks
-// after every step that no task runs twice at the same time, and at every start
-// that the task is not recorded as done and that its predecessors are.
+// workers may be partitioned from the leader, crash and restart, and the leader
+// may pause. Checks after every step that no task runs twice at the same time,
+// and at every start that the task is not recorded as done, that no response
+// which reached the leader's machine lists it as done, and that its
+// predecessors are recorded as done.
 class FakePool {
  public:
   struct Options {
@@ -30,6 +32,8 @@
     // 6 s later. The worker responds to neither.
     double lose_order = 0;
     double delay_order = 0;
+    // Share of the orders that are executed and whose response is lost.
+    double lose_response = 0;
     double fail_task = 0;  // Share of the runs that fail.
     Milliseconds task_time{400};
     Milliseconds lease{5'000};
@@ -43,6 +47,9 @@
   bool RunUntil(const std::function<bool()>& condition, Milliseconds limit);
   // A new leader takes over. Orders of the earlier leader may still arrive.
   void ChangeLeader();
+  // The leader does nothing for this time. Responses arrive meanwhile, and the
+  // leader then reads those whose time-out has not passed.
+  void PauseLeader(Milliseconds duration) { leader_resumes_ = now_ + duration; }
 
   void SetPartitioned(int worker, bool partitioned) {
     workers_[worker].partitioned = partitioned;
@@ -76,6 +83,8 @@
   static JobSpecification Job(int tasks, int steps);
 
  private:
+  static constexpr int64_t kStartUnixMs = 1'000'000;
+
   struct Run {
     MonotonicTime end_time;
     std::string image;
@@ -104,11 +113,21 @@
     int worker = 0;  // -1: the order is lost and its response is unknown.
     WorkerOrder order;
     int64_t fence = 0;
+    MonotonicTime sent;
     bool has_response = true;
+    bool response_lost = false;
     // The incarnation to which the order was sent. A connection ends with it.
     int64_t incarnation = 0;
   };
 
+  struct Response {
+    WorkerOrder order;
+    int64_t fence = 0;
+    MonotonicTime sent;
+    OrderOutcome outcome = OrderOutcome::kUnknown;
+    LeaseRenewalResponse renewal;
+  };
+
   void Step();
   void StepDispatcher(Dispatcher* dispatcher);
   void RegisterRestartedWorkers();
@@ -121,6 +140,10 @@
   LeaseRenewalResponse RenewLease(Worker* worker,
                                   const LeaseRenewalOrder& order);
   void Deliver(const Delivery& delivery);
+  void ReadResponses();
+  void HandleResponse(const Response& response);
+  void NoteListedRuns(const Worker& worker,
+                      const LeaseRenewalResponse& response);
   void CheckInvariants();
   // Checks that no start of the task followed its last allowed failure, as far
   // as acknowledged failures show.
@@ -137,6 +160,8 @@
   std::vector<Worker> workers_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::vector<Delivery> deliveries_;
+  std::vector<Response> responses_;  // The leader has not read them.
+  MonotonicTime leader_resumes_;
   // Of the runs of a task: when those that count as failed attempts ended, as
   // far as the leader has acknowledged them, and when the last one started.
   struct Attempts {
@@ -145,6 +170,9 @@
   };
   std::map<TaskName, Attempts> attempts_;
   std::set<TaskName> recorded_done_;
+  // Tasks with a run that a response listed as done, whose lease had not
+  // expired in between.
+  std::set<TaskName> listed_done_;
   std::string interfering_image_;
   std::string violation_;
   int starts_ = 0;
--- /dev/null
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -0,0 +1,149 @@
+// Delivery of orders to the workers and of responses to the leader.
+
+#include <utility>
+
+#include "packages/dispatch/fakes/fake_pool.h"
+
+namespace bramleyrail {
+
+namespace {
+
+constexpr Milliseconds kResponseTimeout{1'000};
+constexpr int64_t kMaximumDeliveryDelayMs = 6'000;
+
+}  // namespace
+
+void FakePool::StepDispatcher(Dispatcher* dispatcher) {
+  const int64_t unix_ms =
+      kStartUnixMs +
+      std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
+  for (const WorkerOrder& order : dispatcher->Step(state_, now_, unix_ms)) {
+    const int worker = std::stoi(order.worker.id.substr(1));
+    Delivery delivery{now_ + Milliseconds(1 + random_() % 40),
+                      worker,
+                      order,
+                      dispatcher->leader_epoch(),
+                      now_,
+                      true,
+                      false,
+                      workers_[worker].registration.started_unix_ms};
+    const double random_draw = Random();
+    if (random_draw < options_.lose_order) {
+      // The outcome is unknown after the response timeout.
+      delivery.time = now_ + kResponseTimeout;
+      delivery.worker = -1;
+    } else if (random_draw < options_.lose_order + options_.delay_order) {
+      Delivery delayed = delivery;
+      delayed.time = now_ + Milliseconds(random_() % kMaximumDeliveryDelayMs);
+      delayed.has_response = false;
+      deliveries_.push_back(delayed);
+      delivery.time = now_ + kResponseTimeout;
+      delivery.worker = -1;
+    } else if (random_draw < options_.lose_order + options_.delay_order +
+                                 options_.lose_response) {
+      delivery.response_lost = true;
+    }
+    deliveries_.push_back(std::move(delivery));
+  }
+  const Dispatcher::FinishedRunBatch batch = dispatcher->TakeFinishedRuns();
+  if (batch.number != 0) {
+    for (const FinishedRun& end : batch.finished_runs) {
+      if (end.outcome == RunOutcome::kDone) {
+        recorded_done_.insert(end.task);
+      }
+    }
+    state_.Apply({kStartUnixMs, RecordFinishedRuns{batch.finished_runs}});
+    dispatcher->MarkFinishedRunsDurable(batch.number);
+    dispatcher->Synchronize(state_, now_);
+  }
+}
+
+void FakePool::Deliver(const Delivery& delivery) {
+  Response response{delivery.order,
+                    delivery.fence,
+                    delivery.sent,
+                    OrderOutcome::kUnknown,
+                    {}};
+  Delivery timed_out = delivery;
+  timed_out.worker = -1;
+  timed_out.time = now_ + kResponseTimeout;
+  if (delivery.worker >= 0) {
+    Worker& worker = workers_[delivery.worker];
+    if (worker.partitioned) {
+      deliveries_.push_back(timed_out);
+      return;
+    }
+    const bool ended =
+        delivery.incarnation != worker.registration.started_unix_ms;
+    if (ended && !delivery.has_response) {
+      return;
+    }
+    std::tie(response.outcome, response.renewal) =
+        Execute(&worker, delivery.order, delivery.fence);
+    if (delivery.has_response && delivery.response_lost) {
+      deliveries_.push_back(timed_out);
+      return;
+    }
+    // The client sends the order again when its connection ends. Whether the
+    // first copy was executed is not known then.
+    if (ended && response.outcome != OrderOutcome::kAccepted &&
+        response.outcome != OrderOutcome::kRunTooOld &&
+        response.outcome != OrderOutcome::kRestarted) {
+      response.outcome = OrderOutcome::kUnknown;
+    }
+    if (delivery.has_response &&
+        delivery.fence == dispatcher_->leader_epoch()) {
+      NoteListedRuns(worker, response.renewal);
+    }
+  }
+  if (delivery.has_response) {
+    responses_.push_back(std::move(response));
+  }
+}
+
+void FakePool::ReadResponses() {
+  for (Response& response : std::exchange(responses_, {})) {
+    if (response.fence != dispatcher_->leader_epoch()) {
+      continue;
+    }
+    // The client discards a response that it reads after the time-out.
+    if (now_ - response.sent > kResponseTimeout) {
+      response.outcome = OrderOutcome::kUnknown;
+      response.renewal = {};
+    }
+    HandleResponse(response);
+  }
+}
+
+void FakePool::HandleResponse(const Response& response) {
+  const WorkerOrder& order = response.order;
+  const OrderOutcome outcome = response.outcome;
+  if (const auto* start = std::get_if<StartOrder>(&order.body)) {
+    dispatcher_->HandleStartResponse(order.worker, start->task, start->run,
+                                     outcome, now_);
+  } else if (const auto* stop = std::get_if<StopOrder>(&order.body)) {
+    dispatcher_->HandleStopResponse(order.worker, stop->task, stop->run,
+                                    outcome, now_);
+  } else if (const auto* limit = std::get_if<CpuLimitOrder>(&order.body)) {
+    dispatcher_->HandleCpuLimitResponse(order.worker, limit->task, limit->run,
+                                        limit->cpu_limit_percent, outcome,
+                                        now_);
+  } else {
+    dispatcher_->HandleLeaseRenewalResponse(
+        order.worker, outcome, response.renewal, response.sent, now_);
+  }
+}
+
+void FakePool::NoteListedRuns(const Worker& worker,
+                              const LeaseRenewalResponse& response) {
+  for (const ReportedFinishedRun& reported : response.finished) {
+    const MonotonicTime finished_at =
+        worker.finished_at[static_cast<size_t>(reported.number - 1)];
+    if (reported.finished_run.outcome == RunOutcome::kDone &&
+        worker.lease_expired_at <= finished_at) {
+      listed_done_.insert(reported.finished_run.task);
+    }
+  }
+}
+
+}  // namespace bramleyrail
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -325,6 +325,7 @@
   options.seed = *rc::gen::arbitrary<uint64_t>();
   options.lose_order = 0.05;
   options.delay_order = 0.05;
+  options.lose_response = 0.05;
   FakePool pool(options);
   int jobs = 0;
   const auto faults =
@@ -380,5 +381,36 @@
   }));
 }
 
+// Workers are sound, but the leader reads their responses only after the
+// time-out of its calls. Fails when a task starts again that a worker has
+// listed as done.
+TEST(Dispatcher, NoPauseOfTheLeaderRunsADoneTaskAgain) {
+  CHECK(rc::check("pauses", [] {
+    FakePool pool({.workers = 3, .seed = *rc::gen::arbitrary<uint64_t>()});
+    const auto pauses_ms =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(100, 9'000));
+    int jobs = 0;
+    for (const int pause_ms : pauses_ms) {
+      pool.Submit(absl::StrCat("job", jobs++), FakePool::Job(6, 3));
+      // Every worker responds once between two pauses.
+      pool.RunFor(Milliseconds(1'100 + pause_ms % 500));
+      pool.PauseLeader(Milliseconds(pause_ms));
+      pool.RunFor(Milliseconds(pause_ms));
+    }
+    const bool all_ended = pool.RunUntil(
+        [&] {
+          for (int i = 0; i < jobs; ++i) {
+            if (pool.Outcome(absl::StrCat("job", i)) == JobOutcome::kOpen) {
+              return false;
+            }
+          }
+          return true;
+        },
+        kLongEnough);
+    RC_ASSERT(pool.violation() == "");
+    RC_ASSERT(all_ended);
+  }));
+}
+
 }  // namespace
 }  // namespace bramleyrail
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -58,6 +58,16 @@
 // may be executed seconds after it was sent.
 bool MayRunOnLaterIncarnation(const TrackedRun& run);
 
+// The leader's check, after all leases of a worker have expired, whether the
+// worker still responds.
+struct ExpiryCheck {
+  MonotonicTime noticed;  // When the leader first noticed the expiry.
+  // Lease renewals that were due after that and could not be sent.
+  int unsent_renewals = 0;
+  // A lease renewal that was sent after that has ended without a response.
+  bool unanswered = false;
+};
+
 // The leader's record of one incarnation of a worker.
 class TrackedWorker {
  public:
@@ -113,12 +123,13 @@
   // The worker reported its runs to this leader, or is known to have none from
   // an earlier leader.
   bool contacted = false;
+  // The last renewal has no outcome yet.
   bool renewal_in_flight = false;
   MonotonicTime last_response;
   MonotonicTime next_renewal;
   MonotonicTime last_renewal_sent;
-  // When the leader first noticed that all leases have expired.
-  std::optional<MonotonicTime> expiry_noticed;
+  // Set while there are runs and all leases have expired.
+  std::optional<ExpiryCheck> expiry_check;
   int failed_renewals = 0;
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
