Control, Platform: Give lease renewals connections of their own

A renewal holds a connection for up to a second at each worker, starts come in bursts, and renewals then waited behind starts for a connection, up to their time-out.

Change: WorkerClients names two clients, one for lease renewals and one for all other orders. The descriptors for orders are divided: 28 % of those beside the reserve go to renewals, two connections a worker at most, since a renewal to an earlier incarnation at the same address may still hold one. A fleet with more workers than `renewals` has renewals that wait for each other. The budget test asks for a renewal connection for each worker, as many connections for orders as before beside those (7/4 a worker), and the same sum (11/4). dispatch_load, descriptors_divided and the metrics (renewal_*) report both clients.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -23,6 +23,8 @@
 // Time for another instance to take over the leadership of a stopping one.
 constexpr Milliseconds kTransferTime{1'500};
 constexpr Milliseconds kStopPoll{20};
+// The renewal to an earlier incarnation of a worker may still hold the first.
+constexpr size_t kRenewalConnectionsPerWorker = 2;
 
 class ControlInstance final : public RoleInstance {
  public:
@@ -34,8 +36,12 @@
         hooks_(std::move(hooks)),
         own_name_(ControlInstanceName(settings_.address)),
         loop_(IoLoop::Create()),
-        client_(loop_.get(),
-                {.connections = {.maximum_connections = descriptors.orders}}) {}
+        orders_(loop_.get(),
+                {.connections = {.maximum_connections = descriptors.orders}}),
+        renewals_(loop_.get(),
+                  {.connections = {.maximum_connections = descriptors.renewals,
+                                   .maximum_connections_per_address =
+                                       kRenewalConnectionsPerWorker}}) {}
 
   ~ControlInstance() override {
     if (network_ != nullptr) {
@@ -139,11 +145,8 @@
     options.dispatcher.lease =
         std::min(settings_.maximum_lease - kLeaseReserve, kLongestLease);
     options.job_retention = settings_.job_retention * 2;
-    options.call_worker = hooks_.worker_caller(&client_);
-    options.connections = [this] {
-      return std::make_pair(client_.open_connections(),
-                            client_.waiting_calls());
-    };
+    options.clients = {.orders = &orders_, .renewals = &renewals_};
+    options.call_worker = hooks_.worker_caller(options.clients);
     dispatch_ = std::make_unique<DispatchLoop>(loop_.get(), queue_.get(),
                                                std::move(options));
     service_ = std::make_unique<ControlService>(loop_.get(), queue_.get(),
@@ -223,19 +226,9 @@
          static_cast<double>(control_->open_connections())},
         {"control_connections_limit",
          {},
-         static_cast<double>(descriptors_.server)},
-        {"worker_connections",
-         {},
-         static_cast<double>(client_.open_connections())},
-        {"worker_connections_limit",
-         {},
-         static_cast<double>(descriptors_.orders)},
-        {"worker_calls_waiting",
-         {},
-         static_cast<double>(client_.waiting_calls())},
-        {"worker_connections_opened_total",
-         {},
-         static_cast<double>(client_.connections_opened())}};
+         static_cast<double>(descriptors_.server)}};
+    AppendClient("worker", orders_, descriptors_.orders, &samples);
+    AppendClient("renewal", renewals_, descriptors_.renewals, &samples);
     const size_t jobs = queue_->Read(
         [](const QueueState& state) { return state.jobs().size(); });
     samples.push_back({"jobs", {}, static_cast<double>(jobs)});
@@ -245,6 +238,21 @@
     return samples;
   }
 
+  static void AppendClient(std::string_view prefix,
+                           const AsyncHttpClient& client,
+                           size_t limit,
+                           std::vector<MetricSample>* samples) {
+    const auto add = [prefix, samples](std::string_view name, uint64_t value) {
+      samples->push_back({std::string(prefix) + std::string(name),
+                          {},
+                          static_cast<double>(value)});
+    };
+    add("_connections", client.open_connections());
+    add("_connections_limit", limit);
+    add("_calls_waiting", client.waiting_calls());
+    add("_connections_opened_total", client.connections_opened());
+  }
+
   static void AppendDispatcher(const Dispatcher& dispatcher,
                                std::vector<MetricSample>* samples) {
     const Dispatcher::Counters& counters = dispatcher.counters();
@@ -272,7 +280,8 @@
   const PlatformHooks hooks_;
   const std::string own_name_;
   const std::unique_ptr<IoLoop> loop_;
-  AsyncHttpClient client_;
+  AsyncHttpClient orders_;
+  AsyncHttpClient renewals_;
   std::unique_ptr<ControlNetwork> network_;
   std::unique_ptr<ReplicatedQueue> queue_;
   std::unique_ptr<DispatchLoop> dispatch_;
@@ -295,6 +304,7 @@
   LogEvent(kDescriptorsDivided, {{"usable", usable},
                                  {"peers", descriptors.peers},
                                  {"server", descriptors.server},
+                                 {"renewals", descriptors.renewals},
                                  {"orders", descriptors.orders}});
   auto instance = std::make_unique<ControlInstance>(
       std::move(settings), descriptors, std::move(hooks));
--- a/packages/bramleyraild/descriptor_budget.cc
+++ b/packages/bramleyraild/descriptor_budget.cc
@@ -21,6 +21,7 @@
 // the connection that is idle for longest.
 constexpr int64_t kPeersPercent = 10;
 constexpr int64_t kServerPercent = 14;
+constexpr int64_t kRenewalsPercent = 28;
 
 }  // namespace
 
@@ -37,7 +38,9 @@
   DescriptorBudget budget;
   budget.peers = static_cast<size_t>(rest * kPeersPercent / 100);
   budget.server = static_cast<size_t>(rest * kServerPercent / 100);
-  budget.orders = static_cast<size_t>(rest) - budget.peers - budget.server;
+  budget.renewals = static_cast<size_t>(rest * kRenewalsPercent / 100);
+  budget.orders = static_cast<size_t>(rest) - budget.peers - budget.server -
+                  budget.renewals;
   return budget;
 }
 
--- a/packages/bramleyraild/descriptor_budget.h
+++ b/packages/bramleyraild/descriptor_budget.h
@@ -11,9 +11,10 @@
 // How many descriptors each part of a control instance may use, so that no part
 // takes those of another one.
 struct DescriptorBudget {
-  size_t peers = 0;   // Accepted connections of other instances.
-  size_t server = 0;  // Connections of workers' heartbeats and of operators.
-  size_t orders = 0;  // Connections to workers.
+  size_t peers = 0;     // Accepted connections of other instances.
+  size_t server = 0;    // Connections of workers' heartbeats and of operators.
+  size_t renewals = 0;  // Connections to workers for lease renewals.
+  size_t orders = 0;    // Connections to workers for other orders.
 
   // Divides the descriptors that the process may use. kInvalidArgument when
   // there are too few to run with.
--- a/packages/bramleyraild/tests/descriptor_budget_test.cc
+++ b/packages/bramleyraild/tests/descriptor_budget_test.cc
@@ -22,10 +22,12 @@
        {Machine{4'096, 490, 36}, Machine{4'324, 1'100, 153}}) {
     const auto budget = DescriptorBudget::Create(machine.descriptors);
     CHECK(budget.has_value());
-    const auto& [peers, server, orders] = budget.value();
-    CHECK(static_cast<int64_t>(peers + server + orders) + 200 <
+    const auto& [peers, server, renewals, orders] = budget.value();
+    CHECK(static_cast<int64_t>(peers + server + renewals + orders) + 200 <
           machine.descriptors);
-    CHECK(orders >= machine.workers * 11 / 4);
+    CHECK(renewals >= machine.workers);
+    CHECK(orders >= machine.workers * 7 / 4);
+    CHECK(renewals + orders >= machine.workers * 11 / 4);
     // A worker reports to any of six control instances.
     CHECK(server >= machine.workers / 2);
     // Both ends dial each other while an instance replaces its connection.
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -117,22 +117,23 @@
   if (dispatcher_ == nullptr) {
     return;
   }
-  const auto [open, waiting] = options_.connections
-                                   ? options_.connections()
-                                   : std::pair<size_t, size_t>();
-  LogEvent(kDispatchLoad,
-           {{"steps", load.steps},
-            {"step_ms", ToMilliseconds(load.step_time)},
-            {"longest_step_ms", ToMilliseconds(load.longest_step)},
-            {"longest_delay_ms", ToMilliseconds(load.longest_delay)},
-            {"responses", load.responses},
-            {"response_ms", ToMilliseconds(load.response_time)},
-            {"starts", load.starts},
-            {"renewals", load.renewals},
-            {"other_orders", load.other_orders},
-            {"connections", open},
-            {"calls_waiting", waiting},
-            {"ready_tasks", dispatcher_->ready_task_count()}});
+  const auto [orders, renewals] = options_.clients;
+  LogEvent(
+      kDispatchLoad,
+      {{"steps", load.steps},
+       {"step_ms", ToMilliseconds(load.step_time)},
+       {"longest_step_ms", ToMilliseconds(load.longest_step)},
+       {"longest_delay_ms", ToMilliseconds(load.longest_delay)},
+       {"responses", load.responses},
+       {"response_ms", ToMilliseconds(load.response_time)},
+       {"starts", load.starts},
+       {"renewals", load.renewals},
+       {"other_orders", load.other_orders},
+       {"connections", orders ? orders->open_connections() : 0},
+       {"calls_waiting", orders ? orders->waiting_calls() : 0},
+       {"renewal_connections", renewals ? renewals->open_connections() : 0},
+       {"renewals_waiting", renewals ? renewals->waiting_calls() : 0},
+       {"ready_tasks", dispatcher_->ready_task_count()}});
 }
 
 void DispatchLoop::FollowLeadership() {
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -27,6 +27,13 @@
                                         std::function<bool()> may_send,
                                         std::function<void(OrderResponse)>)>;
 
+// The clients that call workers. A renewal keeps a connection for up to its
+// wait, and must not wait for one itself while starts come in bursts.
+struct WorkerClients {
+  AsyncHttpClient* orders = nullptr;  // All but lease renewals.
+  AsyncHttpClient* renewals = nullptr;
+};
+
 // Runs a Dispatcher while this instance leads: passes it the state and the
 // responses of workers, sends its orders, and makes the outcomes of finished
 // runs durable.
@@ -38,8 +45,8 @@
     // Time for which ended jobs are kept.
     Milliseconds job_retention{300'000};
     WorkerCaller call_worker;
-    // Open connections to workers, and calls that wait for one.
-    std::function<std::pair<size_t, size_t>()> connections;
+    // The clients behind `call_worker`, for the log; null when it has none.
+    WorkerClients clients;
     MonotonicClock clock = BootTimeNow;
   };
 
