Dispatch: Ask a silent worker again after a time-out while the leader lags

Cause: a leader whose loop is 0.3 to 0.5 s late opens a connection and reads the response in steps of that length, so the renewal that follows the end of a lease can reach its time-out of 1 s although the worker has answered it. One such time-out made the runs count as lost.

Change: a renewal after the expiry that times out, or that is not sent, decides nothing when steps were over 200 ms apart while it was in flight. It is sent again; the fourth failure decides, so that the runs of a worker that is gone start again under a permanent lag. A response without lists, or a refused connection, decides as before.

Tests: WorkerContact.RenewalThatTimesOutWhileTheLeaderLagsDecidesNothing failed before (runs_lost was 1 instead of 0). WorkerContact.LaggingLeaderCountsRunsOfASilentWorkerAsLost guards the bound and passed before.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -183,6 +183,7 @@
     return {};
   }
   unix_ms_ = unix_ms;
+  ObserveLag(now);
   for (auto position = unreleased_jobs_.begin();
        position != unreleased_jobs_.end();) {
     TrackedJob* job = FindJob(*position);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -180,10 +180,19 @@
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
   // Whether all leases have expired and the worker does not respond any more.
   bool HasLostRuns(TrackedWorker* worker, MonotonicTime now) const;
-  static void RecordFailedRenewal(TrackedWorker* worker,
-                                  OrderOutcome outcome,
-                                  MonotonicTime sent,
-                                  MonotonicTime now);
+  void RecordFailedRenewal(TrackedWorker* worker,
+                           OrderOutcome outcome,
+                           MonotonicTime sent,
+                           MonotonicTime now) const;
+  // Whether the failure of renewals after the expiry, the last of which was
+  // sent then and had this outcome, shows that the worker does not respond.
+  bool ShowsSilence(const ExpiryCheck& check,
+                    OrderOutcome outcome,
+                    MonotonicTime sent,
+                    MonotonicTime now) const;
+  // Notes when the owner is late with a step.
+  void ObserveLag(MonotonicTime now);
+  bool HasLaggedSince(MonotonicTime time, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
@@ -226,6 +235,8 @@
   std::map<uint64_t, std::map<std::string, int64_t>> unconfirmed_batches_;
   uint64_t last_batch_ = 0;
   int64_t unix_ms_ = 0;  // Time of the current step.
+  MonotonicTime last_step_;
+  MonotonicTime last_lag_;  // When the owner was last late with a step.
   Milliseconds longest_wait_{0};
   bool synchronized_ = false;
   bool all_workers_contacted_ = false;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -36,6 +36,12 @@
 // that wait for a connection until their time-out.
 constexpr int kMaximumUnsentRenewals = 2;
 constexpr Milliseconds kUnsentRenewalTime{2'000};
+// A leader whose steps are further apart reads responses late, and the time-out
+// of a call may pass before it has opened a connection or read the response.
+constexpr Milliseconds kMaximumStepInterval{200};
+// After this many failed renewals, the worker counts as silent even though the
+// leader lags, because the runs of a worker that is gone must start again.
+constexpr int kMaximumRenewalsWithLag = 4;
 // After this many consecutive failures, a worker gets no new runs for the
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
@@ -81,22 +87,42 @@
 void Dispatcher::RecordFailedRenewal(TrackedWorker* worker,
                                      OrderOutcome outcome,
                                      MonotonicTime sent,
-                                     MonotonicTime now) {
+                                     MonotonicTime now) const {
   ++worker->failed_renewals;
   worker->next_renewal = now + kFailedRenewalPause;
   if (!worker->expiry_check || sent < worker->expiry_check->noticed) {
     return;
   }
   ExpiryCheck& check = *worker->expiry_check;
-  if (outcome != OrderOutcome::kNotSent) {
-    check.unanswered = true;
-    return;
+  ++check.failed_renewals;
+  check.unanswered =
+      check.unanswered || ShowsSilence(check, outcome, sent, now);
+}
+
+bool Dispatcher::ShowsSilence(const ExpiryCheck& check,
+                              OrderOutcome outcome,
+                              MonotonicTime sent,
+                              MonotonicTime now) const {
+  if (outcome != OrderOutcome::kUnknown && outcome != OrderOutcome::kNotSent) {
+    return true;
   }
-  ++check.unsent_renewals;
-  if (check.unsent_renewals >= kMaximumUnsentRenewals &&
-      now - check.noticed >= kUnsentRenewalTime) {
-    check.unanswered = true;
+  if (HasLaggedSince(sent, now)) {
+    return check.failed_renewals >= kMaximumRenewalsWithLag;
   }
+  return outcome == OrderOutcome::kUnknown ||
+         (check.failed_renewals >= kMaximumUnsentRenewals &&
+          now - check.noticed >= kUnsentRenewalTime);
+}
+
+void Dispatcher::ObserveLag(MonotonicTime now) {
+  if (now - last_step_ > kMaximumStepInterval) {
+    last_lag_ = now;
+  }
+  last_step_ = now;
+}
+
+bool Dispatcher::HasLaggedSince(MonotonicTime time, MonotonicTime now) const {
+  return last_lag_ > time || now - last_step_ > kMaximumStepInterval;
 }
 
 bool Dispatcher::IsRenewalDue(const TrackedWorker& worker, MonotonicTime now) {
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -334,6 +334,40 @@
   LONGS_EQUAL(1, dispatcher_->counters().runs_lost);
 }
 
+// The loop of the leader was late by more than the time-out of the renewal that
+// followed the lease. Fails when the task starts again although the leader had
+// no time to read the answer.
+TEST(WorkerContact, RenewalThatTimesOutWhileTheLeaderLagsDecidesNothing) {
+  StartOneTask();
+  StepInSilence(Milliseconds(5'700));
+  now_ += Milliseconds(900);
+  StepInSilence(Milliseconds(500));
+  LONGS_EQUAL(0, dispatcher_->counters().runs_lost);
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run = {{"job", 0, 0, 0}, 1, RunOutcome::kDone, ""};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 22'000, .finished = {finished}}, open_renewals_.back().first,
+      now_);
+  StepInSilence(Milliseconds(3'000));
+  LONGS_EQUAL(0, dispatcher_->counters().runs_lost);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+  LONGS_EQUAL(1, starts_);
+}
+
+// Fails when a leader that always lags never counts the runs of a silent worker
+// as lost.
+TEST(WorkerContact, LaggingLeaderCountsRunsOfASilentWorkerAsLost) {
+  StartOneTask();
+  const MonotonicTime start = now_;
+  while (now_ < start + Milliseconds(14'000)) {
+    now_ += Milliseconds(390);
+    StepInSilence(Milliseconds(10));
+  }
+  LONGS_EQUAL(1, dispatcher_->counters().runs_lost);
+}
+
 // Fails when runs count as lost although the worker could not be asked for want
 // of a connection, or wait for ever for a connection.
 TEST(WorkerContact, RunsCountAsLostAfterRenewalsThatWereNotSent) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -62,9 +62,9 @@
 // worker still responds.
 struct ExpiryCheck {
   MonotonicTime noticed;  // When the leader first noticed the expiry.
-  // Lease renewals that were due after that and could not be sent.
-  int unsent_renewals = 0;
-  // A lease renewal that was sent after that has ended without a response.
+  // Lease renewals that were due after that and have failed.
+  int failed_renewals = 0;
+  // They show that the worker does not respond.
   bool unanswered = false;
 };
 
