Dispatch: Ask a worker without contact before its earlier tasks start again

Cause: a new leader started the tasks of its predecessor by its clock alone, once the maximum lease had passed since it took over, although a sound worker may have listed some as done in responses that a lagging leader did not read. A withdrawn worker without contact was forgotten by the clock alone, too.

Change: after that time, a worker that this leader has not contacted counts as having no runs only when a lease renewal that was sent then has ended without a response, by the same rule as for the runs of a silent worker. With a worker that stays silent, tasks of earlier jobs start one call time-out later than before. The leases of a worker without contact end no earlier than those that an earlier leader may have granted.

Tests: WorkerContact.NewLeaderAsksAWorkerWithoutContactAfterTheLease failed before (one start instead of none), and so did WorkerContact.NewLeaderDoesNotWaitForASilentWorkerForEver (no worker left instead of one); it also guards the upper bound.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -201,7 +201,7 @@
     StepWorker(worker, now);
     const bool gone = worker->deregistered && worker->runs().empty() &&
                       !worker->awaiting_durability &&
-                      (worker->contacted || AllLeasesExpired(*worker, now));
+                      worker->earlier_runs_resolved();
     position = gone ? workers_.erase(position) : std::next(position);
   }
   PlaceReadyTasks(state, now);
@@ -217,12 +217,14 @@
     return true;
   }
   int64_t not_contacted = 0;
+  bool resolved = true;
   for (const auto& [id, worker] : workers_) {
     not_contacted += worker->contacted ? 0 : 1;
+    resolved = resolved && worker->earlier_runs_resolved();
   }
   const Milliseconds waited =
       std::chrono::floor<Milliseconds>(now - takeover_time_);
-  all_workers_contacted_ = not_contacted == 0 || now > EndOfEarlierLeases();
+  all_workers_contacted_ = resolved;
   if (all_workers_contacted_) {
     LogEvent(kAllWorkersContacted, {{"leadership", leader_epoch_},
                                     {"unheard", not_contacted},
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -65,11 +65,15 @@
 
 bool Dispatcher::AllLeasesExpired(const TrackedWorker& worker,
                                   MonotonicTime now) const {
-  return now > worker.LeaseDeadline().value_or(EndOfEarlierLeases());
+  const MonotonicTime deadline =
+      worker.LeaseDeadline().value_or(EndOfEarlierLeases());
+  return now > (worker.contacted ? deadline
+                                 : std::max(deadline, EndOfEarlierLeases()));
 }
 
 bool Dispatcher::HasLostRuns(TrackedWorker* worker, MonotonicTime now) const {
-  if (worker->runs().empty() || !AllLeasesExpired(*worker, now)) {
+  const bool may_have_runs = !worker->contacted || !worker->runs().empty();
+  if (!may_have_runs || !AllLeasesExpired(*worker, now)) {
     worker->expiry_check.reset();
     return false;
   }
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -76,8 +76,24 @@
                                             {}, now_, now_);
   }
 
-  // Steps for this time. Each lease renewal ends with the outcome, this long
-  // after it was sent.
+  void RespondFrom(const WorkerAddress& worker) {
+    dispatcher_->HandleLeaseRenewalResponse(
+        worker, OrderOutcome::kAccepted,
+        {.clock_ms =
+             std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count()},
+        now_, now_);
+  }
+
+  void AddOtherWorker() {
+    WorkerRegistration other = registration_;
+    other.id = "other";
+    other.address = "10.0.0.2:80";
+    Apply(PutWorker{other});
+    RespondFrom({other.id, other.started_unix_ms, other.address});
+  }
+
+  // Steps for this time. Each lease renewal of the worker ends with the
+  // outcome, this long after it was sent. Other workers respond at once.
   void StepInSilence(Milliseconds duration,
                      OrderOutcome outcome = OrderOutcome::kUnknown,
                      Milliseconds call_time = Milliseconds(1'000)) {
@@ -95,8 +111,11 @@
       for (const WorkerOrder& order :
            dispatcher_->Step(state_, now_, kUnixMs)) {
         starts_ += std::holds_alternative<StartOrder>(order.body) ? 1 : 0;
-        if (const auto* body = std::get_if<LeaseRenewalOrder>(&order.body)) {
+        const auto* body = std::get_if<LeaseRenewalOrder>(&order.body);
+        if (body != nullptr && order.worker.id == "w") {
           open_renewals_.emplace_back(now_, *body);
+        } else if (body != nullptr) {
+          RespondFrom(order.worker);
         }
       }
     }
@@ -400,6 +419,45 @@
   LONGS_EQUAL(1, dispatcher_->counters().runs_lost);
 }
 
+// A new leader that lagged discarded each answer of a sound worker. Fails when
+// it starts the tasks of its predecessor by its clock alone, although the next
+// answer lists a task as done.
+TEST(WorkerContact, NewLeaderAsksAWorkerWithoutContactAfterTheLease) {
+  SubmitOneTask();
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  AddOtherWorker();
+  // The longest lease of the predecessor ends after 6,720 ms.
+  StepInSilence(Milliseconds(7'300));
+  LONGS_EQUAL(0, starts_);
+  ReportedFinishedRun finished;
+  finished.number = 1;
+  finished.finished_run = {{"job", 0, 0, 0}, 1, RunOutcome::kDone, ""};
+  dispatcher_->HandleLeaseRenewalResponse(
+      Address(), OrderOutcome::kAccepted,
+      {.clock_ms = 12'300, .finished = {finished}}, now_, now_);
+  StepInSilence(Milliseconds(3'000));
+  LONGS_EQUAL(0, starts_);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+}
+
+// Fails when the tasks of the predecessor wait for ever for a worker that stays
+// silent, or when its withdrawn registration is forgotten before that is known.
+TEST(WorkerContact, NewLeaderDoesNotWaitForASilentWorkerForEver) {
+  SubmitOneTask();
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  StepInSilence(Milliseconds(1'000));
+  Apply(RemoveWorker{"w", 0});
+  StepInSilence(Milliseconds(6'600));
+  LONGS_EQUAL(1, dispatcher_->worker_count());
+  StepInSilence(Milliseconds(200));
+  LONGS_EQUAL(0, dispatcher_->worker_count());
+  AddOtherWorker();
+  StepInSilence(Milliseconds(100));
+  LONGS_EQUAL(1, starts_);
+}
+
 // Fails when a new leader lets the lease of its predecessor expire.
 TEST(WorkerContact, FirstLeaseOfALeaderDoesNotWaitForFinishedRuns) {
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -128,8 +128,12 @@
   MonotonicTime last_response;
   MonotonicTime next_renewal;
   MonotonicTime last_renewal_sent;
-  // Set while there are runs and all leases have expired.
+  // Set while there may be runs and all leases have expired.
   std::optional<ExpiryCheck> expiry_check;
+  // Whether runs of earlier leaders are known, or known to have ended.
+  bool earlier_runs_resolved() const {
+    return contacted || (expiry_check && expiry_check->unanswered);
+  }
   int failed_renewals = 0;
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
