Dispatch: Keep runs whose end may be behind a full list of finished runs

Cause: a worker lists at most 500 finished runs at a time. A run that had ended behind them was in neither list, counted as vanished, and its task started again although it was done. So many are listed only while finished runs cannot become durable.

Change: a response with 500 finished runs or more shows of no run that it has vanished.

Test: Dispatcher.RunBehindAFullListOfFinishedRunsDoesNotStartAgain failed before (one start instead of none).

--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -26,6 +26,8 @@
 // A best-effort run that uses less than this share of the processor time that
 // it may use is in a light phase.
 constexpr double kBusyUtilization = 0.85;
+// A worker lists at most this many finished runs at a time.
+constexpr size_t kMaximumListedFinishedRuns = 500;
 
 Milliseconds Backoff(int64_t failures) {
   const int64_t shift = std::clamp<int64_t>(failures - 1, 0, 10);
@@ -275,6 +277,10 @@
     run->measurement = reported.measurement;
     RecordMeasurement(run, now);
   }
+  // The end of a run may be behind the listed ones.
+  if (response.finished.size() >= kMaximumListedFinishedRuns) {
+    return;
+  }
   std::vector<RunKey> missing;
   for (const auto& [key, run] : worker->runs()) {
     // The lease renewal was sent after the worker had confirmed the run or its
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -168,6 +168,44 @@
   LONGS_EQUAL(1, dispatcher.TakeFinishedRuns().finished_runs.size());
 }
 
+// A worker lists at most 500 of its finished runs at a time. Fails when a run
+// whose end is behind them counts as vanished and its task starts again.
+TEST(Dispatcher, RunBehindAFullListOfFinishedRunsDoesNotStartAgain) {
+  FakePool pool({.workers = 1});
+  pool.Submit("job", FakePool::Job(1, 1));
+  Dispatcher dispatcher({}, 2, pool.now());
+  dispatcher.Synchronize(pool.state(), pool.now());
+  const WorkerAddress worker{
+      "w0", pool.state().workers().at("w0").started_unix_ms, "10.0.0.1:80"};
+  const TaskName task{"job", 0, 0, 0};
+  MonotonicTime now = pool.now();
+  LeaseRenewalResponse response{.clock_ms = 1};
+  const auto respond_and_count_starts = [&] {
+    dispatcher.HandleLeaseRenewalResponse(worker, OrderOutcome::kAccepted,
+                                          response, now, now);
+    const std::vector<WorkerOrder> orders =
+        dispatcher.Step(pool.state(), now, 1);
+    return std::count_if(
+        orders.begin(), orders.end(), [](const WorkerOrder& order) {
+          return std::holds_alternative<StartOrder>(order.body);
+        });
+  };
+  LONGS_EQUAL(1, respond_and_count_starts());
+  const uint64_t run = 10'001;  // The first of the second leader epoch.
+  dispatcher.HandleStartResponse(worker, task, run, OrderOutcome::kAccepted,
+                                 now);
+  now += Milliseconds(1'000);
+  response.clock_ms += 1'000;
+  for (int64_t number = 1; number <= 500; ++number) {
+    response.finished.push_back(
+        {number, {{"other", 0, 0, number}, 1, RunOutcome::kDone, ""}, "done"});
+  }
+  LONGS_EQUAL(0, respond_and_count_starts());
+  response.finished = {{501, {task, run, RunOutcome::kDone, ""}, "done"}};
+  LONGS_EQUAL(0, respond_and_count_starts());
+  LONGS_EQUAL(1, dispatcher.counters().runs_completed);
+}
+
 // Fails when a worker that has just registered gets a start order without a
 // lease. The run then counts as lost immediately and starts elsewhere, while
 // the worker may still execute it.
