--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -62,9 +62,9 @@
 // worker still responds.
 struct ExpiryCheck {
   MonotonicTime noticed;  // When the leader first noticed the expiry.
-  // Lease renewals that were due after that and could not be sent.
-  int unsent_renewals = 0;
-  // A lease renewal that was sent after that has ended without a response.
+  // Lease renewals that were due after that and have failed.
+  int failed_renewals = 0;
+  // They show that the worker does not respond.
   bool unanswered = false;
 };
 
@@ -128,8 +128,12 @@
   MonotonicTime last_response;
   MonotonicTime next_renewal;
   MonotonicTime last_renewal_sent;
-  // Set while there are runs and all leases have expired.
+  // Set while there may be runs and all leases have expired.
   std::optional<ExpiryCheck> expiry_check;
+  // Whether runs of earlier leaders are known, or known to have ended.
+  bool earlier_runs_resolved() const {
+    return contacted || (expiry_check && expiry_check->unanswered);
+  }
   int failed_renewals = 0;
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
