Dispatch, Queue: Give up jobs whose tasks crash their workers

Cause: the runs of a worker that crashed were started again as lost ones, and nothing counted the crashes. A task that crashes each worker that starts it went through the pool without an end, and the other tasks of its step with it.

Change: a crash is recorded like a finished run (RunOutcome kCrashSuspected or kCrashAttributed) and kept by run number in TaskProgress, so it survives a change of the leader and counts once. A crash that follows the loss of the runs by their lease counts too. - Suspected are the runs that started less than 3 s before the last response of the worker; without any, all that are not long-running. If the only one is confirmed, the crash is attributed to it. - A job fails after three crashes under one task, or two if one of them is attributed; with a long-running task after three, two of them attributed. - A task does not start before its crash is durable. A suspected one starts apart from other recent runs, or after 1 s without such a worker anywhere, and keeps other starts off the worker until it is done or 3 s old. The other tasks of its step wait for that, except replicas of a long-running step. - A leader that is lost before it learns of a crash does not record it. The first starts of a wide step are not held back.

The new tests of WorkerContact and QueueState do not compile with the code before, as they name the new outcomes. Two existing tests change. StartThatTheLaterIncarnationMayRunIsStoppedFirst expects no start before the crash is durable, and then the start as before.

--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -36,6 +36,9 @@
 inline constexpr LogEventDefinition kStepWaits{9215, LogSeverity::kInfo,
                                                "step_waits"};
 
+inline constexpr LogEventDefinition kWorkerCrashCounted{
+    9220, LogSeverity::kWarning, "worker_crash_counted"};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -21,6 +21,9 @@
 // Pause after a task found no worker, before tasks of the same job step are
 // placed again.
 constexpr Milliseconds kPlacementRetryInterval{75};
+// A task that may crash its worker waits this long for one without other recent
+// runs.
+constexpr Milliseconds kMaximumIsolationWait{1'000};
 // A step that waits this long is logged.
 constexpr Milliseconds kFirstWaitReport{1'000};
 // Added to the maximum lease of an earlier leader, whose end is computed for
@@ -80,6 +83,7 @@
     std::unique_ptr<TrackedWorker> earlier;
     if (worker != nullptr && worker->registration().started_unix_ms !=
                                  registration.started_unix_ms) {
+      RecordCrash(worker.get());
       RequeueRunsOfEndedIncarnation(worker.get(), now);
       ForgetAcknowledgements(id);
       earlier.swap(worker);
@@ -114,6 +118,7 @@
     worker->deregistered_since = now;
     // Another worker registered with the address, so this process has ended.
     if (addresses.contains(worker->registration().address)) {
+      RecordCrash(worker.get());
       RequeueLostRuns(worker.get(), "another worker has its address", now);
     }
   }
@@ -257,7 +262,8 @@
         !all_contacted &&
         job->origin() == TrackedJob::Origin::kEarlierLeaderEpoch;
     if (blocked || tracked_task.phase != TaskPhase::kReady ||
-        now < tracked_task.not_before) {
+        now < tracked_task.not_before ||
+        IsHeldAfterCrash(job, task, &tracked_step)) {
       continue;
     }
     if (++attempts > kMaximumPlacementsPerStep) {
@@ -307,6 +313,7 @@
                         {"late_ms", unix_ms_ - job.LatestStartUnixMs(task)},
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
+                        {"not_isolated", rejections.not_isolated},
                         {"no_capacity", rejections.no_capacity},
                         {"best_effort_full", rejections.best_effort_full},
                         {"label_missing", rejections.label_missing},
@@ -322,11 +329,15 @@
                                       MonotonicTime now) {
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
-  WorkerRequest request{
-      &job->job(),    &step,
-      task,           tracked_task.avoid_worker,
-      step.data_rack, Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
-      waited};
+  WorkerRequest request{&job->job(),
+                        &step,
+                        task,
+                        tracked_task.avoid_worker,
+                        step.data_rack,
+                        Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
+                        waited,
+                        waited < kMaximumIsolationWait &&
+                            job->FailureRecordOf(task).crash_suspected};
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->CountRunsOfStep(task.job, task.occurrence, task.step) > 0) {
@@ -402,6 +413,12 @@
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = run;
   TrackedRun tracked;
+  tracked.started = now;
+  const TrackedTask& record = job->FailureRecordOf(task);
+  if (record.crash_suspected) {
+    tracked.isolated = true;
+    worker->isolated_until = now + kCrashAttributionTime;
+  }
   tracked.job = job->shared_job();
   tracked.step = &step;
   tracked.reserved = step.size;
@@ -419,7 +436,8 @@
            {{"task", task.ToString()},
             {"run", run},
             {"worker", worker->registration().id},
-            {"failures", job->FailureRecordOf(task).failed_runs.size()},
+            {"failures", record.failed_runs.size()},
+            {"crashes", record.crashed_runs.size()},
             {"resumed", !added.checkpoint.empty()},
             {"reserved_millis", worker->reserved().processor_millis},
             {"spare_millis", worker->best_effort_processor_millis()},
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -177,6 +177,20 @@
                    const std::vector<RunKey>& runs,
                    std::string_view reason,
                    MonotonicTime now);
+  // Records the end of a worker's process that it did not announce, against the
+  // runs that may have caused it.
+  void RecordCrash(TrackedWorker* worker);
+  void CountCrash(const TrackedWorker& worker, const PossibleCrash& possible);
+  // The crashes to record if the worker's process has ended.
+  static std::vector<PossibleCrash> PossibleCrashes(
+      const TrackedWorker& worker);
+  // Whether the task must not start yet after crashes of workers under it or
+  // under other tasks of its step.
+  bool IsHeldAfterCrash(TrackedJob* job,
+                        const TaskName& task,
+                        TrackedStep* step) const;
+  bool HasOutlivedCrashes(const TaskName& name, const TrackedTask& task) const;
+  bool IsBatchDurable(uint64_t batch) const;
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
   // Whether the runs on the worker have ended without a response.
   bool HasLostRuns(TrackedWorker* worker, MonotonicTime now) const;
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -51,6 +51,7 @@
     return;
   }
   if (outcome == OrderOutcome::kWrongWorker) {
+    RecordCrash(worker);
     RequeueLostRuns(worker, "the worker has ended", now);
     worker->avoid_until = now + kUnhealthyPause;
     return;
@@ -142,6 +143,7 @@
     run->confirmed = now;
     worker->next_renewal = now;
   } else if (outcome == OrderOutcome::kWrongWorker) {
+    RecordCrash(worker);
     RequeueLostRuns(worker, "the worker has ended", now);
   }
 }
@@ -184,6 +186,11 @@
       tracked->step->best_effort) {
     worker->best_effort_changed = now;
   }
+  // A run that was stopped may still crash its worker.
+  if (tracked != nullptr && tracked->isolated &&
+      finished.outcome == RunOutcome::kDone) {
+    worker->isolated_until = {};
+  }
   worker->RemoveRun(key);
   LogEvent(kRunEnded, {{"task", finished.task.ToString()},
                        {"run", finished.run},
@@ -208,6 +215,12 @@
     return;
   }
   finished_runs_.push_back(finished);
+  TrackedStep& tracked_step =
+      job->occurrence(finished.task.occurrence).steps[finished.task.step];
+  if (tracked_step.crash_suspect == finished.task.index &&
+      finished.outcome != RunOutcome::kInterrupted) {
+    tracked_step.crash_suspect.reset();
+  }
   tracked_task.last_run = std::max(tracked_task.last_run, finished.run);
   if (!finished.checkpoint.empty()) {
     tracked_task.checkpoint = finished.checkpoint;
@@ -323,6 +336,7 @@
   const RunKey key(reported.task, reported.run);
   TrackedJob* job = FindJob(reported.task.job);
   TrackedRun run;
+  run.started = now;
   run.confirmed = now;
   run.listed = true;
   run.progress_percent = reported.progress_percent;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -20,6 +20,9 @@
 constexpr Milliseconds kFailedRenewalPause{200};
 // Pause between lease renewals while finished runs are not durable yet.
 constexpr Milliseconds kRenewalIntervalWithoutDurability{1'000};
+// A worker that refuses connections after this many failed renewals has no
+// process any more.
+constexpr int kRefusedRenewalsOfEndedWorker = 2;
 // Orders are not retried when the last response of the worker is older.
 constexpr Milliseconds kMaximumResponseAgeForRetry{2'500};
 // Maximum wait of a lease renewal while a run exceeds its target latency.
@@ -38,6 +41,8 @@
 
 void Dispatcher::StepWorker(TrackedWorker* worker, MonotonicTime now) {
   if (HasLostRuns(worker, now)) {
+    // Whether the worker has crashed is known only once it is back.
+    worker->possible_crashes = PossibleCrashes(*worker);
     RequeueLostRuns(
         worker, "the lease expired without a response from the worker", now);
   }
@@ -173,6 +178,7 @@
   for (auto& [key, run] : earlier->runs()) {
     run.phase = RunPhase::kStarting;
     run.listed = false;
+    run.started = now;
     SendStop(later, key, &later->AddRun(key, run),
              "the worker was restarted and may have executed the start", now);
   }
@@ -240,7 +246,7 @@
 
 Dispatcher::FinishedRunBatch Dispatcher::TakeFinishedRuns() {
   FinishedRunBatch batch;
-  if (received_through_.empty()) {
+  if (received_through_.empty() && finished_runs_.empty()) {
     return batch;
   }
   batch.number = ++last_batch_;
@@ -298,10 +304,20 @@
     worker->next_renewal = now + kFailedRenewalPause;
     if (outcome == OrderOutcome::kWrongWorker ||
         (outcome == OrderOutcome::kConnectionRefused && worker->deregistered)) {
+      if (outcome == OrderOutcome::kWrongWorker) {
+        RecordCrash(worker);
+      }
       RequeueLostRuns(worker, "the worker has ended", now);
       worker->contacted = true;
       worker->avoid_until = now + kAvoidanceTime;
+    } else if (outcome == OrderOutcome::kConnectionRefused &&
+               worker->failed_renewals >= kRefusedRenewalsOfEndedWorker) {
+      // Its runs stay until the lease has expired or a later incarnation
+      // registers, but no other task of their steps may crash a worker in the
+      // meantime.
+      RecordCrash(worker);
     } else if (outcome == OrderOutcome::kRestarted) {
+      RecordCrash(worker);
       RequeueRunsOfEndedIncarnation(worker, now);
     }
     if (worker->failed_renewals == 1) {
@@ -321,6 +337,8 @@
   worker->last_response = now;
   worker->next_renewal = now;
   worker->expiry_noticed.reset();
+  worker->possible_crashes.clear();
+  worker->crash_recorded = false;
   worker->ObserveClock(response.clock_ms, now);
   for (const ReportedFinishedRun& reported : response.finished) {
     HandleFinishedRun(worker, reported, now);
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -13,7 +13,6 @@
 constexpr Milliseconds kResponseTimeout{1'000};
 constexpr int64_t kMaximumDeliveryDelayMs = 6'000;
 constexpr int64_t kStartUnixMs = 1'000'000;
-constexpr uint64_t kMaximumRegistrationDelayMs = 1'500;
 constexpr int64_t kMaximumAttempts = 4;
 constexpr int64_t kBaselineTailMs = 8;
 constexpr int64_t kInterferenceTailMs = 90;
@@ -119,6 +118,7 @@
   for (Worker& worker : workers_) {
     AdvanceWorker(&worker);
   }
+  CrashDueWorkers();
   RegisterRestartedWorkers();
   std::vector<Delivery> due;
   std::erase_if(deliveries_, [&](const Delivery& delivery) {
@@ -187,6 +187,12 @@
       deliveries_.push_back(timed_out);
       return;
     }
+    if (now_ < worker.down_until) {
+      if (delivery.has_response) {
+        Respond(delivery, OrderOutcome::kConnectionRefused, renewal);
+      }
+      return;
+    }
     const bool ended =
         delivery.incarnation != worker.registration.started_unix_ms;
     if (ended && !delivery.has_response) {
@@ -202,7 +208,15 @@
       outcome = OrderOutcome::kUnknown;
     }
   }
-  if (!delivery.has_response || delivery.fence != dispatcher_->leader_epoch()) {
+  if (delivery.has_response) {
+    Respond(delivery, outcome, renewal);
+  }
+}
+
+void FakePool::Respond(const Delivery& delivery,
+                       OrderOutcome outcome,
+                       const LeaseRenewalResponse& renewal) {
+  if (delivery.fence != dispatcher_->leader_epoch()) {
     return;
   }
   const WorkerOrder& order = delivery.order;
@@ -285,6 +299,8 @@
   ++starts_;
   attempts_[start.task].last_start = now_;
   CheckAttempts(start.task);
+  CheckStartsAfterCrashes(start.task);
+  ScheduleCrash(start.task, worker);
   Run run;
   run.end_time = now_ + options_.task_time;
   run.image = step.image;
@@ -405,32 +421,6 @@
   }
 }
 
-void FakePool::Crash(int number) {
-  Worker& worker = workers_[number];
-  Worker next;
-  next.registration = worker.registration;
-  ++next.registration.started_unix_ms;
-  next.clock_start_ms = worker.clock_start_ms;
-  next.partitioned = worker.partitioned;
-  next.registers_at =
-      now_ + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
-  worker = std::move(next);
-}
-
-void FakePool::RegisterRestartedWorkers() {
-  for (Worker& worker : workers_) {
-    if (worker.registers_at && *worker.registers_at <= now_) {
-      worker.registers_at.reset();
-      Apply(PutWorker{worker.registration});
-    }
-  }
-}
-
-void FakePool::SetDraining(int number) {
-  workers_[number].registration.draining = true;
-  Apply(PutWorker{workers_[number].registration});
-}
-
 void FakePool::CheckInvariants() {
   std::set<TaskName> running;
   for (const Worker& worker : workers_) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -54,6 +54,13 @@
   // Makes every run on the worker fail.
   void FailAll(int worker, bool fails) { workers_[worker].fails_all = fails; }
   void SetDraining(int worker);
+  // Makes each run of the job end its worker's process soon after the start.
+  // The process is back after `down`, under the same id as a later incarnation.
+  void CrashWorkersOf(const std::string& job, Milliseconds down) {
+    crashing_jobs_[job] = down;
+  }
+  // Changes what the worker can run, and what it reports of that.
+  void SetCapacity(int worker, const ResourceAmounts& capacity);
   // Makes runs of this image raise the tail latency of latency-sensitive runs
   // on the same worker.
   void SetInterferingImage(std::string image) {
@@ -67,6 +74,8 @@
   int RunningTasks() const;
   int starts() const { return starts_; }
   int64_t CpuLimitOf(const TaskName& task) const;
+  // How many workers have crashed, for any reason.
+  int crashes() const { return crashes_; }
   // The first invariant that was violated, or empty.
   const std::string& violation() const { return violation_; }
   MonotonicTime now() const { return now_; }
@@ -98,6 +107,8 @@
     bool partitioned = false;
     bool fails_all = false;
     std::optional<MonotonicTime> registers_at;  // After a restart.
+    MonotonicTime down_until;  // Refuses connections before this time.
+    std::optional<MonotonicTime> crashes_at;
   };
   struct Delivery {
     MonotonicTime time;
@@ -112,6 +123,8 @@
   void Step();
   void StepDispatcher(Dispatcher* dispatcher);
   void RegisterRestartedWorkers();
+  void ScheduleCrash(const TaskName& task, Worker* worker);
+  void CrashDueWorkers();
   void AdvanceWorker(Worker* worker);
   void FinishRun(Worker* worker, const RunKey& key, std::string reason);
   std::pair<OrderOutcome, LeaseRenewalResponse>
@@ -121,10 +134,16 @@
   LeaseRenewalResponse RenewLease(Worker* worker,
                                   const LeaseRenewalOrder& order);
   void Deliver(const Delivery& delivery);
+  void Respond(const Delivery& delivery,
+               OrderOutcome outcome,
+               const LeaseRenewalResponse& renewal);
   void CheckInvariants();
   // Checks that no start of the task followed its last allowed failure, as far
   // as acknowledged failures show.
   void CheckAttempts(const TaskName& task);
+  // Checks that a task under which too many workers have crashed does not start
+  // over and over.
+  void CheckStartsAfterCrashes(const TaskName& task);
   void ObserveAcknowledged(const Worker& worker, int64_t from, int64_t through);
   void RecordViolation(const std::string& violation);
   double Random();
@@ -144,6 +163,15 @@
     MonotonicTime last_start;
   };
   std::map<TaskName, Attempts> attempts_;
+  // Of a task that crashes its workers: the crashes, and the starts since the
+  // limit was reached.
+  struct CrashCount {
+    int crashes = 0;
+    int starts_after_limit = 0;
+  };
+  std::map<TaskName, CrashCount> crash_counts_;
+  std::map<std::string, Milliseconds> crashing_jobs_;
+  int crashes_ = 0;
   std::set<TaskName> recorded_done_;
   std::string interfering_image_;
   std::string violation_;
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -49,11 +49,12 @@
 }
 
 // Fails when the leader waits for the lease of an incarnation that is known to
-// have ended.
+// have ended. The runs are too old to be suspected of the crash.
 TEST(Dispatcher, TasksOfARestartedWorkerStartAgainImmediately) {
   FakePool pool({.workers = 2, .task_time = Milliseconds(20'000)});
   pool.Submit("job", FakePool::Job(4, 1));
   CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 4; }, kLongEnough));
+  pool.RunFor(Milliseconds(5'000));
   pool.Crash(0);
   CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 4; },
                       Milliseconds(1'500)));
@@ -320,6 +321,25 @@
   CheckNoViolation(pool);
 }
 
+// LIMIT: fails when a task starts on a worker whose capacity has shrunk below
+// what runs there, or when capacity that grows again stays unused.
+TEST(Dispatcher, ShrunkCapacityGetsNoStartsUntilItGrows) {
+  FakePool pool({.workers = 1, .task_time = Milliseconds(60'000)});
+  pool.Submit("running", FakePool::Job(4, 1));
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 4; }, kLongEnough));
+  pool.SetCapacity(0, {3'000, 64'000, 0});
+  pool.Submit("waiting", FakePool::Job(2, 1));
+  pool.RunFor(Milliseconds(5'000));
+  LONGS_EQUAL(4, pool.starts());
+  pool.SetCapacity(0, {5'500, 64'000, 0});
+  pool.RunFor(Milliseconds(1'000));
+  LONGS_EQUAL(5, pool.starts());
+  pool.SetCapacity(0, {8'000, 64'000, 0});
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 6; },
+                      Milliseconds(1'000)));
+  CheckNoViolation(pool);
+}
+
 // Runs a random sequence of faults on a pool and checks what must always hold.
 void CheckAnySequenceOfFaults(FakePool::Options options) {
   options.seed = *rc::gen::arbitrary<uint64_t>();
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -55,6 +55,43 @@
     Apply(job);
   }
 
+  // A task that leaves no room for another one.
+  void SubmitTaskThatFillsTheWorker(const std::string& id) {
+    SubmitJob job;
+    job.id = id;
+    job.queue = "queue";
+    job.pool = "pool";
+    job.maximum_attempts = 4;
+    job.specification = FakePool::Job(1, 1);
+    job.specification.steps[0].size = registration_.capacity;
+    Apply(job);
+  }
+
+  // Returns the crashes of workers that are to be recorded.
+  std::vector<FinishedRun> TakeCrashes() {
+    std::vector<FinishedRun> crashes;
+    for (const FinishedRun& run :
+         dispatcher_->TakeFinishedRuns().finished_runs) {
+      if (run.outcome == RunOutcome::kCrashSuspected ||
+          run.outcome == RunOutcome::kCrashAttributed) {
+        crashes.push_back(run);
+      }
+    }
+    return crashes;
+  }
+
+  // The worker lists these runs and nothing else.
+  void ListRunning(int64_t clock_ms, const std::vector<RunKey>& runs) {
+    LeaseRenewalResponse response;
+    response.clock_ms = clock_ms;
+    for (const auto& [task, run] : runs) {
+      response.running.push_back({task, run, "", 50, std::nullopt});
+    }
+    dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                            response, now_ - Milliseconds(1),
+                                            now_);
+  }
+
   // The worker lists finished runs with these numbers and nothing else.
   void ListFinished(int64_t clock_ms, const std::vector<int64_t>& numbers) {
     LeaseRenewalResponse response;
@@ -135,9 +172,134 @@
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
                                           {.clock_ms = 100},
                                           now_ - Milliseconds(1), now_);
+  // The run may have crashed the earlier incarnation, and that is not durable
+  // yet.
+  CHECK(Step<StartOrder>(Milliseconds(10)).empty());
+  const Dispatcher::FinishedRunBatch batch = dispatcher_->TakeFinishedRuns();
+  LONGS_EQUAL(1, batch.finished_runs.size());
+  dispatcher_->MarkFinishedRunsDurable(batch.number);
   LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
 }
 
+// LIMIT: fails when a run that is being stopped no longer counts against the
+// capacity of its worker.
+TEST(WorkerContact, RunThatIsBeingStoppedCountsAgainstTheCapacity) {
+  SubmitTaskThatFillsTheWorker("first");
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  const RunKey run(starts.front().task, starts.front().run);
+  ListRunning(5'010, {run});
+  Apply(CancelQueuedJob{"first"});
+  SubmitTaskThatFillsTheWorker("second");
+  LONGS_EQUAL(1, Step<StopOrder>(Milliseconds(10)).size());
+  dispatcher_->HandleStopResponse(Address(), run.first, run.second,
+                                  OrderOutcome::kAccepted, now_);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+    ListRunning(5'120 + 100 * i, {run});
+  }
+  Step<StartOrder>(Milliseconds(100));
+  ListRunning(6'200, {});
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
+// Fails when the crash of a worker does not count because its successor at the
+// same address has another id.
+TEST(WorkerContact, WorkerReplacedAtItsAddressCountsAsCrashed) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  WorkerRegistration successor = registration_;
+  successor.id = "successor";
+  ++successor.started_unix_ms;
+  Apply(PutWorker{successor});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  CHECK(crashes.front().outcome == RunOutcome::kCrashAttributed);
+}
+
+// Fails when a crash counts only once the worker is back, so that other tasks
+// of the step crash further workers in the meantime.
+TEST(WorkerContact, WorkerThatRefusesConnectionsCountsAsCrashed) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  const auto refuse = [&] {
+    dispatcher_->HandleLeaseRenewalResponse(
+        Address(), OrderOutcome::kConnectionRefused, {}, now_, now_);
+  };
+  refuse();
+  CHECK(TakeCrashes().empty());
+  refuse();
+  LONGS_EQUAL(1, TakeCrashes().size());
+  refuse();
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  CHECK(TakeCrashes().empty());
+}
+
+// Fails when a worker that announced its end counts as crashed.
+TEST(WorkerContact, EndOfADrainingWorkerIsNoCrash) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  registration_.draining = true;
+  Apply(PutWorker{registration_});
+  registration_.draining = false;
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  CHECK(TakeCrashes().empty());
+}
+
+// Fails when the members of a gang on one worker are suspected of each other's
+// crash, or when the crash counts for each of them.
+TEST(WorkerContact, CrashUnderAGangCountsOnce) {
+  SubmitJob job;
+  job.id = "job";
+  job.pool = "pool";
+  job.specification = FakePool::Job(2, 1);
+  job.specification.steps[0].gang = true;
+  Apply(job);
+  std::vector<RunKey> runs;
+  for (const StartOrder& start : Step<StartOrder>(Milliseconds(10))) {
+    runs.emplace_back(start.task, start.run);
+  }
+  LONGS_EQUAL(2, runs.size());
+  ListRunning(5'010, runs);
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  LONGS_EQUAL(0, crashes.front().task.index);
+  CHECK(crashes.front().outcome == RunOutcome::kCrashAttributed);
+}
+
+// Fails when a run that the worker has survived for long is suspected beside a
+// recent one.
+TEST(WorkerContact, OnlyRecentRunsAreSuspectedOfACrash) {
+  SubmitOneTask();
+  const auto earlier = Step<StartOrder>(Milliseconds(10));
+  const RunKey earlier_run(earlier.front().task, earlier.front().run);
+  for (int second = 1; second <= 5; ++second) {
+    Step<LeaseRenewalOrder>(Milliseconds(1'000));
+    ListRunning(5'010 + second * 1'000, {earlier_run});
+  }
+  SubmitJob job;
+  job.id = "recent";
+  job.pool = "pool";
+  job.specification = FakePool::Job(1, 1);
+  Apply(job);
+  const auto recent = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, recent.size());
+  ListRunning(10'030, {earlier_run, {recent.front().task, recent.front().run}});
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  STRCMP_EQUAL("recent", crashes.front().task.job.c_str());
+}
+
 // Pattern: all control instances lost and back. The first lists of the workers
 // held finished runs, which could not become durable until the quorum was
 // repaired; no lease was renewed meanwhile, and 3,380 runs were given up.
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -54,6 +54,12 @@
     tracked_task.failed_runs.insert(progress.failed_runs.begin(),
                                     progress.failed_runs.end());
     tracked_task.checkpoint = progress.checkpoint;
+    tracked_task.crashed_runs.insert(progress.crashed_runs.begin(),
+                                     progress.crashed_runs.end());
+    tracked_task.attributed_crashes = progress.attributed_crashes;
+    if (!progress.done && !progress.crashed_runs.empty()) {
+      SuspectOfCrashes(name);
+    }
     started = true;
   }
   for (const auto& [name, progress] : job_->progress) {
@@ -85,6 +91,21 @@
   return task(name);
 }
 
+void TrackedJob::SuspectOfCrashes(const TaskName& name) {
+  FailureRecordOf(name).crash_suspected = true;
+  // The members of a gang start together. Replicas of a long-running step may
+  // not wait for each other.
+  if (step(name).gang || step(name).long_running) {
+    return;
+  }
+  TrackedStep& tracked_step = occurrences_[name.occurrence].steps[name.step];
+  std::optional<int64_t>& suspect = tracked_step.crash_suspect;
+  if (!suspect || task(name).crashed_runs.size() >
+                      tracked_step.tasks[*suspect].crashed_runs.size()) {
+    suspect = name.index;
+  }
+}
+
 std::vector<TaskName> TrackedJob::Release(int64_t unix_ms) {
   std::vector<TaskName> ready;
   for (size_t number = 0; number < occurrences_.size(); ++number) {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -21,6 +21,13 @@
   // acknowledged, so a new leader can receive a failure that is already
   // recorded.
   std::set<uint64_t> failed_runs;
+  // Numbers of the runs whose worker crashed, as in TaskProgress.
+  std::set<uint64_t> crashed_runs;
+  int64_t attributed_crashes = 0;
+  // A recent run may have crashed its worker, so the next one is isolated.
+  bool crash_suspected = false;
+  // The batch of finished runs with the last crash; 0: none.
+  uint64_t crash_batch = 0;
   std::string checkpoint;
   MonotonicTime not_before;  // Earliest time of the next start.
   std::string worker;        // Set while the task is active.
@@ -36,6 +43,9 @@
   // how often that was logged.
   std::optional<MonotonicTime> waiting_since;
   int wait_reports = 0;
+  // Index of a task that may crash its workers. The other tasks of the step
+  // probably behave like it and wait until it has run without a crash.
+  std::optional<int64_t> crash_suspect;
   int64_t unfinished_tasks = 0;
   int64_t unfinished_predecessors = 0;
 };
@@ -68,6 +78,9 @@
   // The task that holds the failures: the first member for a gang, otherwise
   // the task itself.
   TrackedTask& FailureRecordOf(TaskName task);
+  // Isolates the next run of the task. The task of the step with the most
+  // crashes is started before the others.
+  void SuspectOfCrashes(const TaskName& task);
 
   // Releases the occurrences that are due and returns the tasks that become
   // ready.
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -98,6 +98,12 @@
   return found == runs_.end() ? nullptr : &found->second;
 }
 
+bool TrackedWorker::HasRecentRun(MonotonicTime now) const {
+  return std::any_of(runs_.begin(), runs_.end(), [now](const auto& item) {
+    return now - item.second.started < kCrashAttributionTime;
+  });
+}
+
 void TrackedWorker::UpdateReserved(const TrackedRun& run, int64_t sign) {
   const bool best_effort = run.step != nullptr && run.step->best_effort;
   reserved_.memory_mib += sign * run.reserved.memory_mib;
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "packages/dispatch/best_effort_estimate.h"
 #include "packages/dispatch/worker_order.h"
@@ -22,6 +23,10 @@
 
 using RunKey = std::pair<TaskName, uint64_t>;
 
+// A run that started less than this time before its worker crashed may have
+// caused the crash.
+inline constexpr Milliseconds kCrashAttributionTime{3'000};
+
 // A run that is, or may be, active on a worker.
 struct TrackedRun {
   RunPhase phase = RunPhase::kStarting;
@@ -29,6 +34,9 @@
   std::shared_ptr<const QueuedJob> job;
   const JobStep* step = nullptr;
   ResourceAmounts reserved;
+  MonotonicTime started;  // Or adopted from an earlier leader.
+  // The worker gets no other run while this one may crash it.
+  bool isolated = false;
   MonotonicTime last_order_sent;  // The last start or stop order.
   int orders_sent = 0;
   bool order_in_flight = false;
@@ -58,6 +66,13 @@
 // may be executed seconds after it was sent.
 bool MayRunOnLaterIncarnation(const TrackedRun& run);
 
+// A run that was on a worker whose process has ended, or may have.
+struct PossibleCrash {
+  FinishedRun run;
+  // The run started shortly before the end.
+  bool is_recent = false;
+};
+
 // The leader's record of one incarnation of a worker.
 class TrackedWorker {
  public:
@@ -99,6 +114,8 @@
   int64_t CountRunsOfStep(const std::string& job,
                           int64_t occurrence,
                           int64_t step) const;
+  // Whether a run started so recently that it may still crash the worker.
+  bool HasRecentRun(MonotonicTime now) const;
   // Reset when the runs or their measurements change.
   std::optional<BestEffortEstimate> best_effort_estimate;
   // When a best-effort run last started, ended or got another CPU limit.
@@ -132,6 +149,12 @@
   // The worker gets no new runs before this time.
   MonotonicTime avoid_until;
   int consecutive_failures = 0;
+  // The worker gets no new runs beside one that may crash it.
+  MonotonicTime isolated_until;
+  // Crashes that count if this incarnation turns out to have ended: of runs
+  // that were lost since the last response.
+  std::vector<PossibleCrash> possible_crashes;
+  bool crash_recorded = false;
 
  private:
   void UpdateReserved(const TrackedRun& run, int64_t sign);
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -146,7 +146,7 @@
          registration.pool == pool &&
          !evacuated.contains(registration.failure_domain) &&
          now - worker.last_response < kMaximumResponseAge &&
-         now >= worker.avoid_until;
+         now >= worker.avoid_until && now >= worker.isolated_until;
 }
 
 double WorkerSelector::Score(const WorkerRequest& request,
@@ -212,6 +212,10 @@
       ++rejections.ineligible;
       continue;
     }
+    if (request.isolated && worker->HasRecentRun(now)) {
+      ++rejections.not_isolated;
+      continue;
+    }
     if (!HasCapacityFor(*worker, step)) {
       ++rejections.no_capacity;
       continue;
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -13,7 +13,7 @@
 namespace bramleyrail::codec {
 
 template <>
-inline constexpr int64_t kEnumSize<RunOutcome> = 3;
+inline constexpr int64_t kEnumSize<RunOutcome> = 5;
 template <>
 inline constexpr int64_t kEnumSize<JobOutcome> = 4;
 
@@ -132,7 +132,8 @@
   return std::tie(v.found, v.changed, v.leader_epoch);
 }
 auto Fields(codec::Is<TaskProgress> auto& v) {
-  return std::tie(v.done, v.failed_runs, v.checkpoint_run, v.checkpoint);
+  return std::tie(v.done, v.failed_runs, v.checkpoint_run, v.checkpoint,
+                  v.crashed_runs, v.attributed_crashes);
 }
 auto Fields(codec::Is<ProgressRecord> auto& v) {
   return std::tie(v.task, v.progress);
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -63,6 +63,11 @@
   // The run was stopped, its lease expired, or another member of its gang
   // ended.
   kInterrupted,
+  // The worker crashed while the run was on it, as did other runs there that
+  // may have caused this.
+  kCrashSuspected,
+  // The worker crashed, and no other run had started there recently.
+  kCrashAttributed,
 };
 
 struct FinishedRun {
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -158,6 +158,7 @@
                 finished.run) == progress.failed_runs.end()) {
     progress.failed_runs.push_back(finished.run);
   }
+  RecordCrash(finished, &progress);
   if (!finished.checkpoint.empty() && finished.run >= progress.checkpoint_run) {
     progress.checkpoint_run = finished.run;
     progress.checkpoint = finished.checkpoint;
@@ -165,11 +166,26 @@
   const auto failures = static_cast<int64_t>(progress.failed_runs.size());
   if (job->unfinished_tasks == 0) {
     EndJob(job, JobOutcome::kCompleted, unix_ms);
-  } else if (!step.long_running && failures >= job->maximum_attempts) {
+  } else if ((!step.long_running && failures >= job->maximum_attempts) ||
+             IsCrashLimitReached(step, progress.crashes())) {
     EndJob(job, JobOutcome::kFailed, unix_ms);
   }
 }
 
+void QueueState::RecordCrash(const FinishedRun& finished,
+                             TaskProgress* progress) {
+  const bool attributed = finished.outcome == RunOutcome::kCrashAttributed;
+  const bool crashed =
+      attributed || finished.outcome == RunOutcome::kCrashSuspected;
+  if (!crashed || progress->done ||
+      std::find(progress->crashed_runs.begin(), progress->crashed_runs.end(),
+                finished.run) != progress->crashed_runs.end()) {
+    return;
+  }
+  progress->crashed_runs.push_back(finished.run);
+  progress->attributed_crashes += attributed ? 1 : 0;
+}
+
 void QueueState::MarkDone(const TaskName& task, QueuedJob* job) {
   const JobStep& step = job->specification.steps[task.step];
   // One finished member completes the whole gang.
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "packages/queue/crash_limit.h"
 #include "packages/queue/queue_command.h"
 
 namespace bramleyrail {
@@ -26,6 +27,13 @@
   std::vector<uint64_t> failed_runs;
   uint64_t checkpoint_run = 0;  // The run that wrote the checkpoint.
   std::string checkpoint;       // Empty: none.
+  // Numbers of the runs whose worker crashed. Each counts once, too.
+  std::vector<uint64_t> crashed_runs;
+  int64_t attributed_crashes = 0;  // See RunOutcome::kCrashAttributed.
+
+  CrashCount crashes() const {
+    return {static_cast<int64_t>(crashed_runs.size()), attributed_crashes};
+  }
 };
 
 struct QueuedJob {
@@ -86,6 +94,7 @@
   QueueOutcome Handle(const FinishMachineMaintenance& command, int64_t unix_ms);
   QueueOutcome Handle(const ReadBarrier& command, int64_t unix_ms);
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
+  static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
   static void MarkDone(const TaskName& task, QueuedJob* job);
   static void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
 
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "absl/strings/str_cat.h"
+#include "packages/queue/queue_codec.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
@@ -79,6 +80,67 @@
   CHECK(state.FindJob("a")->outcome == JobOutcome::kFailed);
 }
 
+// Fails when one crash of a worker counts twice, or when a job with a task that
+// crashes its workers stays open.
+TEST(QueueState, CrashUnderARunCountsOnce) {
+  QueueState state;
+  Apply(&state, Submission("a"));
+  const TaskName task{"a", 0, 0, 0};
+  for (const uint64_t run : {1, 1, 2, 2}) {
+    Apply(&state, RecordFinishedRuns{
+                      {Finished(task, run, RunOutcome::kCrashSuspected)}});
+  }
+  CHECK(state.FindJob("a")->outcome == JobOutcome::kOpen);
+  LONGS_EQUAL(2, state.FindJob("a")->progress.at(task).crashes().all);
+  Apply(&state, RecordFinishedRuns{
+                    {Finished(task, 10'001, RunOutcome::kCrashSuspected)}});
+  CHECK(state.FindJob("a")->outcome == JobOutcome::kFailed);
+}
+
+// Fails when a job is given up after one crash, or is not given up although no
+// other run can have caused the second one.
+TEST(QueueState, SecondCrashGivesAJobUpWhenOneIsAttributed) {
+  QueueState state;
+  Apply(&state, Submission("a"));
+  const TaskName task{"a", 0, 0, 0};
+  Apply(&state,
+        RecordFinishedRuns{{Finished(task, 1, RunOutcome::kCrashAttributed)}});
+  CHECK(state.FindJob("a")->outcome == JobOutcome::kOpen);
+  Apply(&state,
+        RecordFinishedRuns{{Finished(task, 2, RunOutcome::kCrashSuspected)}});
+  CHECK(state.FindJob("a")->outcome == JobOutcome::kFailed);
+}
+
+// Fails when crashes that other runs may have caused end a long-running task.
+TEST(QueueState, SuspectedCrashesKeepALongRunningTask) {
+  QueueState state;
+  SubmitJob submission = Submission("a");
+  submission.specification.steps[0].long_running = true;
+  Apply(&state, submission);
+  const TaskName task{"a", 0, 0, 0};
+  for (uint64_t run = 1; run <= 10; ++run) {
+    Apply(&state, RecordFinishedRuns{
+                      {Finished(task, run, RunOutcome::kCrashSuspected)}});
+  }
+  CHECK(state.FindJob("a")->outcome == JobOutcome::kOpen);
+}
+
+// Fails when a snapshot that was written before crashes were counted cannot be
+// read.
+TEST(QueueState, SnapshotWithoutCrashesIsRead) {
+  const TaskProgress written{.failed_runs = {3}, .checkpoint = "c"};
+  std::vector<std::byte> encoded = codec::Encode(written);
+  // Four instead of six fields, the last of which are an empty list and 0.
+  LONGS_EQUAL(0x86, static_cast<int>(encoded.front()));
+  encoded.front() = std::byte{0x84};
+  encoded.resize(encoded.size() - 2);
+  const auto decoded = codec::Decode<TaskProgress>(encoded, "the progress");
+  CHECK(decoded.has_value());
+  LONGS_EQUAL(1, decoded.value().failed_runs.size());
+  STRCMP_EQUAL("c", decoded.value().checkpoint.c_str());
+  LONGS_EQUAL(0, decoded.value().crashes().all);
+}
+
 // Fails when a configuration is replaced by an older version, or by another
 // text of the same version.
 TEST(QueueState, OnlyAHigherVersionTakesEffect) {
@@ -92,6 +154,25 @@
   STRCMP_EQUAL("seven", state.configuration().text.c_str());
 }
 
+// LIMIT: fails when a capacity that shrinks while the worker runs does not
+// reach the leader.
+TEST(QueueState, ChangedCapacityIsAChange) {
+  QueueState state;
+  WorkerRegistration worker{.id = "w",
+                            .started_unix_ms = 100,
+                            .address = "10.0.0.1:80",
+                            .pool = "pool",
+                            .capacity = {8'000, 16'000, 0},
+                            .heartbeat_sequence = 1};
+  Apply(&state, PutWorker{worker});
+  worker.heartbeat_sequence = 2;
+  CHECK(!Apply(&state, PutWorker{worker}).changed);
+  worker.capacity.processor_millis = 2'000;
+  worker.heartbeat_sequence = 3;
+  CHECK(Apply(&state, PutWorker{worker}).changed);
+  LONGS_EQUAL(2'000, state.workers().at("w").capacity.processor_millis);
+}
+
 // Fails when a delayed heartbeat of an earlier incarnation replaces the
 // registration of the newer one.
 TEST(QueueState, EarlierIncarnationDoesNotReplaceANewerOne) {
@@ -181,6 +262,10 @@
                   choice == 3 ? RunOutcome::kFailed : RunOutcome::kDone)}});
       } else if (choice == 5) {
         Apply(&state, SetEvacuated{id, number % 2 == 0});
+        Apply(&state, RecordFinishedRuns{{Finished(
+                          {id, 0, 0, 0}, number,
+                          number % 2 == 0 ? RunOutcome::kCrashAttributed
+                                          : RunOutcome::kCrashSuspected)}});
       } else if (choice == 6) {
         Apply(&state, StartWave{{.number = number, .machines = {"m"}}});
       } else {
