Dispatch: Count runs of jobs that are not open against the capacity

Cause: a new leader that found a run of a job which had ended ordered it to stop, but knew no size of it. The run counted as nothing, so a worker that does not guard its capacity could get more than fits.

Change: a worker with such a run gets no other one until the run has ended.

Tests: RunOfAnUnknownJobCountsAgainstTheCapacity failed before, a task started beside the run.

--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -203,6 +203,27 @@
   LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
 }
 
+// LIMIT: a new leader found a run of a job that had ended. It ordered the run
+// to stop and did not know how much of the capacity it used, so another task
+// started beside it.
+TEST(WorkerContact, RunOfAnUnknownJobCountsAgainstTheCapacity) {
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  dispatcher_->ObserveClock("w", kUnixMs, 5'000, now_);
+  const RunKey run({"ended", 0, 0, 0}, 1);
+  ListRunning(5'010, {run});
+  SubmitTaskThatFillsTheWorker("next");
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+    ListRunning(5'120 + 100 * i, {run});
+  }
+  dispatcher_->HandleStopResponse(Address(), run.first, run.second,
+                                  OrderOutcome::kAccepted, now_);
+  Step<StartOrder>(Milliseconds(100));
+  ListRunning(6'200, {});
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
 // Fails when the crash of a worker does not count because its successor at the
 // same address has another id.
 TEST(WorkerContact, WorkerReplacedAtItsAddressCountsAsCrashed) {
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -105,6 +105,7 @@
 }
 
 void TrackedWorker::UpdateReserved(const TrackedRun& run, int64_t sign) {
+  runs_of_unknown_size_ += run.step == nullptr ? sign : 0;
   const bool best_effort = run.step != nullptr && run.step->best_effort;
   reserved_.memory_mib += sign * run.reserved.memory_mib;
   reserved_.accelerators += sign * run.reserved.accelerators;
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -107,6 +107,9 @@
   std::map<RunKey, TrackedRun>& runs() { return runs_; }
   const std::map<RunKey, TrackedRun>& runs() const { return runs_; }
   const ResourceAmounts& reserved() const { return reserved_; }
+  // Whether a run is active whose job is not open, and which therefore is not
+  // part of `reserved`.
+  bool HasRunOfUnknownSize() const { return runs_of_unknown_size_ > 0; }
   // Processor time that the best-effort runs request.
   int64_t best_effort_processor_millis() const {
     return best_effort_processor_millis_;
@@ -167,6 +170,7 @@
   std::optional<MonotonicTime> assumed_until_;
   std::map<RunKey, TrackedRun> runs_;
   ResourceAmounts reserved_;
+  int64_t runs_of_unknown_size_ = 0;
   int64_t best_effort_processor_millis_ = 0;
 };
 
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -79,6 +79,9 @@
 }
 
 bool HasCapacityFor(const TrackedWorker& worker, const JobStep& step) {
+  if (worker.HasRunOfUnknownSize()) {
+    return false;
+  }
   ResourceAmounts needed = worker.reserved();
   const ResourceAmounts& capacity = worker.registration().capacity;
   needed.memory_mib += step.size.memory_mib;
