--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -78,6 +78,7 @@
     std::unique_ptr<TrackedWorker> earlier;
     if (worker != nullptr && worker->registration().started_unix_ms !=
                                  registration.started_unix_ms) {
+      RecordCrash(worker.get());
       RequeueRunsOfEndedIncarnation(worker.get(), now);
       ForgetAcknowledgements(id);
       earlier.swap(worker);
@@ -112,6 +113,7 @@
     worker->deregistered_since = now;
     // Another worker registered with the address, so this process has ended.
     if (addresses.contains(worker->registration().address)) {
+      RecordCrash(worker.get());
       RequeueLostRuns(worker.get(), "another worker has its address", now);
     }
   }
@@ -243,6 +245,12 @@
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = run;
   TrackedRun tracked;
+  tracked.started = now;
+  const TrackedTask& record = job->FailureRecordOf(task);
+  if (record.crash_suspected) {
+    tracked.isolated = true;
+    worker->isolated_until = now + kCrashAttributionTime;
+  }
   tracked.job = job->shared_job();
   tracked.step = &step;
   tracked.reserved = step.size;
@@ -260,7 +268,8 @@
            {{"task", task.ToString()},
             {"run", run},
             {"worker", worker->registration().id},
-            {"failures", job->FailureRecordOf(task).failed_runs.size()},
+            {"failures", record.failed_runs.size()},
+            {"crashes", record.crashed_runs.size()},
             {"resumed", !added.checkpoint.empty()},
             {"reserved_millis", worker->reserved().processor_millis},
             {"spare_millis", worker->best_effort_processor_millis()},
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -19,6 +19,9 @@
 // Pause after a task found no worker, before tasks of the same job step are
 // placed again.
 constexpr Milliseconds kPlacementRetryInterval{75};
+// A task that may crash its worker waits this long for one without other recent
+// runs.
+constexpr Milliseconds kMaximumIsolationWait{1'000};
 // A step that waits this long is logged.
 constexpr Milliseconds kFirstWaitReport{1'000};
 
@@ -79,7 +82,7 @@
     }
     const TrackedTask& tracked_task = step.tasks[task.index];
     if (tracked_task.phase == TaskPhase::kReady &&
-        now >= tracked_task.not_before) {
+        now >= tracked_task.not_before && !IsHeldAfterCrash(job, task, &step)) {
       --budget->attempts;
       const WorkerSelection selection =
           job->step(task).gang ? PlaceGang(eligible, job, task, now)
@@ -133,6 +136,7 @@
                         {"late_ms", unix_ms_ - job.LatestStartUnixMs(task)},
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
+                        {"not_isolated", rejections.not_isolated},
                         {"no_capacity", rejections.no_capacity},
                         {"best_effort_full", rejections.best_effort_full},
                         {"label_missing", rejections.label_missing},
@@ -149,11 +153,16 @@
                                       MonotonicTime now) {
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
-  WorkerRequest request{
-      &job->job(),    &step,
-      task,           tracked_task.avoid_worker,
-      step.data_rack, Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
-      waited};
+  WorkerRequest request{&job->job(),
+                        &step,
+                        task,
+                        tracked_task.avoid_worker,
+                        step.data_rack,
+                        Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
+                        waited,
+                        waited < kMaximumIsolationWait &&
+                            job->FailureRecordOf(task).crash_suspected,
+                        now};
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->CountRunsOfStep(task.job, task.occurrence, task.step) > 0) {
@@ -162,8 +171,8 @@
     }
   }
   // Preferences of its own make the ranking of the step wrong for a task.
-  const bool shares_ranking =
-      !step.tightly_coupled && request.avoid_worker.empty();
+  const bool shares_ranking = !step.tightly_coupled &&
+                              request.avoid_worker.empty() && !request.isolated;
   if (!shares_ranking) {
     counters_.worker_ratings += eligible.workers.size();
     const WorkerSelection selection =
@@ -207,6 +216,7 @@
     request.step = &step;
     request.task = task;
     request.preferred_rack = rack;
+    request.now = now;
     counters_.worker_ratings += eligible.workers.size();
     selection = selector_.Select(request, eligible, interference_model_);
     TrackedWorker* worker = selection.worker;
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Milliseconds kStepTime{10};
-constexpr uint64_t kMaximumRegistrationDelayMs = 1'500;
 constexpr int64_t kMaximumAttempts = 4;
 constexpr int64_t kBaselineTailMs = 8;
 constexpr int64_t kInterferenceTailMs = 90;
@@ -116,6 +115,7 @@
   for (Worker& worker : workers_) {
     AdvanceWorker(&worker);
   }
+  CrashDueWorkers();
   RegisterRestartedWorkers();
   std::vector<Delivery> due;
   std::erase_if(deliveries_, [&](const Delivery& delivery) {
@@ -200,6 +200,8 @@
   ++starts_;
   attempts_[start.task].last_start = now_;
   CheckAttempts(start.task);
+  CheckStartsAfterCrashes(start.task);
+  ScheduleCrash(start.task, worker);
   Run run;
   run.end_time = now_ + options_.task_time;
   run.image = step.image;
@@ -320,32 +322,6 @@
   }
 }
 
-void FakePool::Crash(int number) {
-  Worker& worker = workers_[number];
-  Worker next;
-  next.registration = worker.registration;
-  ++next.registration.started_unix_ms;
-  next.clock_start_ms = worker.clock_start_ms;
-  next.partitioned = worker.partitioned;
-  next.registers_at =
-      now_ + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
-  worker = std::move(next);
-}
-
-void FakePool::RegisterRestartedWorkers() {
-  for (Worker& worker : workers_) {
-    if (worker.registers_at && *worker.registers_at <= now_) {
-      worker.registers_at.reset();
-      Apply(PutWorker{worker.registration});
-    }
-  }
-}
-
-void FakePool::SetDraining(int number) {
-  workers_[number].registration.draining = true;
-  Apply(PutWorker{workers_[number].registration});
-}
-
 void FakePool::CheckInvariants() {
   std::set<TaskName> running;
   for (const Worker& worker : workers_) {
--- a/packages/dispatch/fakes/fake_pool_delivery.cc
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -73,6 +73,13 @@
       deliveries_.push_back(timed_out);
       return;
     }
+    if (now_ < worker.down_until) {
+      if (delivery.has_response) {
+        response.outcome = OrderOutcome::kConnectionRefused;
+        responses_.push_back(std::move(response));
+      }
+      return;
+    }
     const bool ended =
         delivery.incarnation != worker.registration.started_unix_ms;
     if (ended && !delivery.has_response) {
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -98,7 +98,14 @@
   return found == runs_.end() ? nullptr : &found->second;
 }
 
+bool TrackedWorker::HasRecentRun(MonotonicTime now) const {
+  return std::any_of(runs_.begin(), runs_.end(), [now](const auto& item) {
+    return now - item.second.started < kCrashAttributionTime;
+  });
+}
+
 void TrackedWorker::UpdateReserved(const TrackedRun& run, int64_t sign) {
+  runs_of_unknown_size_ += run.step == nullptr ? sign : 0;
   const bool best_effort = run.step != nullptr && run.step->best_effort;
   reserved_.memory_mib += sign * run.reserved.memory_mib;
   reserved_.accelerators += sign * run.reserved.accelerators;
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -79,6 +79,9 @@
 }
 
 bool HasCapacityFor(const TrackedWorker& worker, const JobStep& step) {
+  if (worker.HasRunOfUnknownSize()) {
+    return false;
+  }
   ResourceAmounts needed = worker.reserved();
   const ResourceAmounts& capacity = worker.registration().capacity;
   needed.memory_mib += step.size.memory_mib;
@@ -152,7 +155,7 @@
          registration.pool == pool &&
          !evacuated.contains(registration.failure_domain) &&
          now - worker.last_response < kMaximumResponseAge &&
-         now >= worker.avoid_until;
+         now >= worker.avoid_until && now >= worker.isolated_until;
 }
 
 double WorkerSelector::Score(const WorkerRequest& request,
@@ -213,6 +216,16 @@
     const LatencyInterferenceModel& model,
     WorkerRejections* rejections) const {
   const JobStep& step = *request.step;
+  // A run that may crash the worker can have started there since the worker was
+  // found eligible.
+  if (request.now < worker->isolated_until) {
+    ++rejections->ineligible;
+    return std::nullopt;
+  }
+  if (request.isolated && worker->HasRecentRun(request.now)) {
+    ++rejections->not_isolated;
+    return std::nullopt;
+  }
   if (!HasCapacityFor(*worker, step)) {
     ++rejections->no_capacity;
     return std::nullopt;
