--- /dev/null
+++ b/packages/dispatch/tests/worker_end_test.cc
@@ -0,0 +1,151 @@
+// Crashes of a worker under its runs, and its capacity.
+
+#include "packages/dispatch/tests/one_worker_fixture.h"
+
+namespace bramleyrail {
+namespace {
+
+TEST_GROUP_BASE(WorkerContact, OneWorkerFixture){};
+
+// LIMIT: fails when a run that is being stopped no longer counts against the
+// capacity of its worker.
+TEST(WorkerContact, RunThatIsBeingStoppedCountsAgainstTheCapacity) {
+  SubmitTaskThatFillsTheWorker("first");
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  const RunKey run(starts.front().task, starts.front().run);
+  ListRunning(5'010, {run});
+  Apply(CancelQueuedJob{"first"});
+  SubmitTaskThatFillsTheWorker("second");
+  LONGS_EQUAL(1, Step<StopOrder>(Milliseconds(10)).size());
+  dispatcher_->HandleStopResponse(Address(), run.first, run.second,
+                                  OrderOutcome::kAccepted, now_);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+    ListRunning(5'120 + 100 * i, {run});
+  }
+  Step<StartOrder>(Milliseconds(100));
+  ListRunning(6'200, {});
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
+// LIMIT: a new leader found a run of a job that had ended. It ordered the run
+// to stop and did not know how much of the capacity it used, so another task
+// started beside it.
+TEST(WorkerContact, RunOfAnUnknownJobCountsAgainstTheCapacity) {
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  dispatcher_->ObserveClock("w", kUnixMs, 5'000, now_);
+  const RunKey run({"ended", 0, 0, 0}, 1);
+  ListRunning(5'010, {run});
+  SubmitTaskThatFillsTheWorker("next");
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+    ListRunning(5'120 + 100 * i, {run});
+  }
+  dispatcher_->HandleStopResponse(Address(), run.first, run.second,
+                                  OrderOutcome::kAccepted, now_);
+  Step<StartOrder>(Milliseconds(100));
+  ListRunning(6'200, {});
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
+// Fails when the crash of a worker does not count because its successor at the
+// same address has another id.
+TEST(WorkerContact, WorkerReplacedAtItsAddressCountsAsCrashed) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  WorkerRegistration successor = registration_;
+  successor.id = "successor";
+  ++successor.started_unix_ms;
+  Apply(PutWorker{successor});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  CHECK(crashes.front().outcome == RunOutcome::kCrashAttributed);
+}
+
+// Fails when a crash counts only once the worker is back, so that other tasks
+// of the step crash further workers in the meantime.
+TEST(WorkerContact, WorkerThatRefusesConnectionsCountsAsCrashed) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  const auto refuse = [&] {
+    dispatcher_->HandleLeaseRenewalResponse(
+        Address(), OrderOutcome::kConnectionRefused, {}, now_, now_);
+  };
+  refuse();
+  CHECK(TakeCrashes().empty());
+  refuse();
+  LONGS_EQUAL(1, TakeCrashes().size());
+  refuse();
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  CHECK(TakeCrashes().empty());
+}
+
+// Fails when a worker that announced its end counts as crashed.
+TEST(WorkerContact, EndOfADrainingWorkerIsNoCrash) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  registration_.draining = true;
+  Apply(PutWorker{registration_});
+  registration_.draining = false;
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  CHECK(TakeCrashes().empty());
+}
+
+// Fails when the members of a gang on one worker are suspected of each other's
+// crash, or when the crash counts for each of them.
+TEST(WorkerContact, CrashUnderAGangCountsOnce) {
+  SubmitJob job;
+  job.id = "job";
+  job.pool = "pool";
+  job.specification = FakePool::Job(2, 1);
+  job.specification.steps[0].gang = true;
+  Apply(job);
+  std::vector<RunKey> runs;
+  for (const StartOrder& start : Step<StartOrder>(Milliseconds(10))) {
+    runs.emplace_back(start.task, start.run);
+  }
+  LONGS_EQUAL(2, runs.size());
+  ListRunning(5'010, runs);
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  LONGS_EQUAL(0, crashes.front().task.index);
+  CHECK(crashes.front().outcome == RunOutcome::kCrashAttributed);
+}
+
+// Fails when a run that the worker has survived for long is suspected beside a
+// recent one.
+TEST(WorkerContact, OnlyRecentRunsAreSuspectedOfACrash) {
+  SubmitOneTask();
+  const auto earlier = Step<StartOrder>(Milliseconds(10));
+  const RunKey earlier_run(earlier.front().task, earlier.front().run);
+  for (int second = 1; second <= 5; ++second) {
+    Step<LeaseRenewalOrder>(Milliseconds(1'000));
+    ListRunning(5'010 + second * 1'000, {earlier_run});
+  }
+  SubmitJob job;
+  job.id = "recent";
+  job.pool = "pool";
+  job.specification = FakePool::Job(1, 1);
+  Apply(job);
+  const auto recent = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, recent.size());
+  ListRunning(10'030, {earlier_run, {recent.front().task, recent.front().run}});
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  const std::vector<FinishedRun> crashes = TakeCrashes();
+  LONGS_EQUAL(1, crashes.size());
+  STRCMP_EQUAL("recent", crashes.front().task.job.c_str());
+}
+
+}  // namespace
+}  // namespace bramleyrail
