Dispatch: Read all finished runs of a worker before its earlier tasks start

Cause: a new leader counted a worker as contacted by its first response, also when that listed 500 finished runs, the most at a time. The end of a run behind them was not known yet, and its task started again.

Change: only a response with fewer finished runs shows all of them.

Test: WorkerContact.NewLeaderReadsAllFinishedRunsBeforeTasksStartAgain failed before (one start instead of none).

--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -294,6 +294,7 @@
   if (response.finished.size() >= kMaximumListedFinishedRuns) {
     return;
   }
+  worker->contacted = true;
   std::vector<RunKey> missing;
   for (const auto& [key, run] : worker->runs()) {
     // The lease renewal was sent after the worker had confirmed the run or its
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -418,7 +418,6 @@
     HandleFinishedRun(worker, reported, now);
   }
   ReconcileRunningRuns(worker, response, sent, now);
-  worker->contacted = true;
   interference_model_.Observe(*worker, now);
   ProtectTargets(worker, now);
   worker->best_effort_estimate.reset();
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -120,5 +120,32 @@
   CHECK(Step<StartOrder>(Milliseconds(100)).empty());
 }
 
+// Fails when a new leader starts a task that is done, because the worker's
+// first list was full and the end of the task was behind it.
+TEST(WorkerContact, NewLeaderReadsAllFinishedRunsBeforeTasksStartAgain) {
+  FakePool pool({.workers = 1});
+  pool.Submit("job", FakePool::Job(1, 1));
+  Dispatcher dispatcher({}, 2, pool.now());
+  dispatcher.Synchronize(pool.state(), pool.now());
+  const WorkerAddress worker{
+      "w0", pool.state().workers().at("w0").started_unix_ms, "10.0.0.1:80"};
+  LeaseRenewalResponse response{.clock_ms = 1};
+  for (int64_t number = 1; number <= 500; ++number) {
+    response.finished.push_back(
+        {number, {{"other", 0, 0, number}, 1, RunOutcome::kDone, ""}, "done"});
+  }
+  dispatcher.HandleLeaseRenewalResponse(worker, OrderOutcome::kAccepted,
+                                        response, pool.now(), pool.now());
+  dispatcher.Step(pool.state(), pool.now(), 1);
+  LONGS_EQUAL(0, dispatcher.counters().starts);
+  response.finished = {
+      {501, {{"job", 0, 0, 0}, 1, RunOutcome::kDone, ""}, "done"}};
+  dispatcher.HandleLeaseRenewalResponse(worker, OrderOutcome::kAccepted,
+                                        response, pool.now(), pool.now());
+  dispatcher.Step(pool.state(), pool.now(), 1);
+  LONGS_EQUAL(0, dispatcher.counters().starts);
+  LONGS_EQUAL(1, dispatcher.counters().runs_completed);
+}
+
 }  // namespace
 }  // namespace bramleyrail
