Dispatch: Keep a worker open when a crash could not be attributed there

Cause: a suspected task that had waited 1 s in vain for a worker without recent runs started beside some, and still kept all other starts off that worker for 3 s. After ordinary crashes of many workers, each suspected task closed a worker that way.

Change: a worker is closed only when the suspected task is its only recent run.

Test: WorkerContact.SuspectedTaskBesideARecentRunDoesNotCloseTheWorker failed before (no start instead of one).

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -247,7 +247,8 @@
   TrackedRun tracked;
   tracked.started = now;
   const TrackedTask& record = job->FailureRecordOf(task);
-  if (record.crash_suspected) {
+  // Beside a recent run, a crash could not be attributed anyway.
+  if (record.crash_suspected && !worker->HasRecentRun(now)) {
     tracked.isolated = true;
     worker->isolated_until = now + kCrashAttributionTime;
   }
--- a/packages/dispatch/tests/worker_end_test.cc
+++ b/packages/dispatch/tests/worker_end_test.cc
@@ -147,5 +147,37 @@
   STRCMP_EQUAL("recent", crashes.front().task.job.c_str());
 }
 
+// Fails when a suspected task, which waited in vain for a worker without recent
+// runs, keeps other starts off a worker where a crash could not be attributed.
+TEST(WorkerContact, SuspectedTaskBesideARecentRunDoesNotCloseTheWorker) {
+  SubmitOneTask();
+  const auto first = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{first.front().task, first.front().run}});
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  ListRunning(100, {});
+  const Dispatcher::FinishedRunBatch crashes = dispatcher_->TakeFinishedRuns();
+  LONGS_EQUAL(1, crashes.finished_runs.size());
+  const auto submit = [this](const std::string& id) {
+    SubmitJob job;
+    job.id = id;
+    job.pool = "pool";
+    job.specification = FakePool::Job(1, 1);
+    Apply(job);
+  };
+  submit("recent");
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(10)).size());
+  dispatcher_->MarkFinishedRunsDurable(crashes.number);
+  const RunKey recent({"recent", 0, 0, 0}, 1);
+  size_t starts = 0;
+  for (int wait = 0; wait < 11; ++wait) {
+    starts += Step<StartOrder>(Milliseconds(100)).size();
+    ListRunning(200 + 100 * wait, {recent});
+  }
+  LONGS_EQUAL(1, starts);  // The suspected task.
+  submit("next");
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
 }  // namespace
 }  // namespace bramleyrail
