Dispatch: Prefer another worker for a task under which one has crashed

Cause: a worker that is back after a crash has no recent runs, so it was often the best one for a suspected task. A machine that crashes again for another reason then convicted the task.

Change: the task avoids the worker that crashed under it, as after a failure.

Test: WorkerContact.TaskAvoidsTheWorkerThatCrashedUnderIt failed before (the same worker instead of the other).

--- a/packages/dispatch/dispatcher_crashes.cc
+++ b/packages/dispatch/dispatcher_crashes.cc
@@ -90,6 +90,8 @@
       crashed.outcome == RunOutcome::kCrashAttributed ? 1 : 0;
   finished_runs_.push_back(crashed);
   task.crash_batch = last_batch_ + 1;
+  // Two crashes of one machine say less about the task.
+  task.avoid_worker = worker.registration().id;
   const CrashCount crashes{static_cast<int64_t>(task.crashed_runs.size()),
                            task.attributed_crashes};
   LogEvent(
--- a/packages/dispatch/tests/worker_end_test.cc
+++ b/packages/dispatch/tests/worker_end_test.cc
@@ -179,5 +179,31 @@
   LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
 }
 
+// Fails when a task starts again on the worker that crashed under it although
+// another one has room, so that both crashes may be due to one machine.
+TEST(WorkerContact, TaskAvoidsTheWorkerThatCrashedUnderIt) {
+  SubmitOneTask();
+  const auto first = Step<StartOrder>(Milliseconds(10));
+  ListRunning(5'010, {{first.front().task, first.front().run}});
+  WorkerRegistration other = registration_;
+  other.id = "x";  // After the first worker in the order of ids.
+  other.address = "10.0.0.2:80";
+  Apply(PutWorker{other});
+  ++registration_.started_unix_ms;
+  Apply(PutWorker{registration_});
+  ListRunning(100, {});
+  RespondFrom({other.id, other.started_unix_ms, other.address});
+  dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
+  now_ += Milliseconds(10);
+  std::vector<std::string> workers;
+  for (const WorkerOrder& order : dispatcher_->Step(state_, now_, kUnixMs)) {
+    if (std::holds_alternative<StartOrder>(order.body)) {
+      workers.push_back(order.worker.id);
+    }
+  }
+  LONGS_EQUAL(1, workers.size());
+  STRCMP_EQUAL("x", workers.front().c_str());
+}
+
 }  // namespace
 }  // namespace bramleyrail
