--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -23,7 +23,8 @@
 // Time for another instance to take over the leadership of a stopping one.
 constexpr Milliseconds kTransferTime{1'500};
 constexpr Milliseconds kStopPoll{20};
-// The renewal to an earlier incarnation of a worker may still hold the first.
+// The first may still be held by the renewal to an earlier incarnation, or by
+// one that was sent before the lease expired.
 constexpr size_t kRenewalConnectionsPerWorker = 2;
 
 class ControlInstance final : public RoleInstance {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -72,7 +72,7 @@
   MonotonicTime noticed;  // When the leader first noticed the expiry.
   // Lease renewals that were due after that and have failed.
   int failed_renewals = 0;
-  // They show that the worker does not respond.
+  // They show that the worker does not respond, or only without its lists.
   bool unanswered = false;
 };
 
