Control, Dispatch: Log the time of each phase of a step and its visits

The leader's log gave one time for a whole step, so a backlog that makes each change of the state dearer looked like dear placement or dear calls. The line dispatch_load now has the time to follow the state, to decide and to send, and counts of what each of them looked at: workers rated, jobs, ready tasks and runs visited. The counts and the log line live in a class of their own.

--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -7,6 +7,7 @@
 
 #include "packages/control/control_names.h"
 #include "packages/control/control_service.h"
+#include "packages/control/dispatch_load.h"
 #include "packages/control/dispatch_loop.h"
 #include "packages/control/leader_relay.h"
 #include "packages/control/relayed_message.h"
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -20,10 +20,6 @@
 constexpr Milliseconds kPurgeInterval{10'000};
 constexpr Milliseconds kLoadReportInterval{1'000};
 
-int64_t ToMilliseconds(std::chrono::nanoseconds duration) {
-  return std::chrono::round<Milliseconds>(duration).count();
-}
-
 }  // namespace
 
 DispatchLoop::DispatchLoop(IoLoop* loop,
@@ -45,8 +41,7 @@
 void DispatchLoop::Tick() {
   const MonotonicTime now = options_.clock();
   if (next_tick_ != MonotonicTime()) {
-    load_.longest_delay = std::max<std::chrono::nanoseconds>(
-        load_.longest_delay, now - next_tick_);
+    load_.AddDelay(now - next_tick_);
   }
   ScheduleStep();
   ReportLoad(options_.clock());
@@ -92,10 +87,12 @@
     return;
   }
   const MonotonicTime now = options_.clock();
+  MonotonicTime synchronized = now;
   std::vector<WorkerOrder> orders;
   queue_->Read([&](const QueueState& state) {
     if (changed_.exchange(false)) {
       dispatcher_->Synchronize(state, now);
+      synchronized = options_.clock();
     }
     orders = dispatcher_->Step(state, now, UnixMilliseconds());
   });
@@ -103,16 +100,17 @@
     EndLeadership("a worker follows a newer leader");
     return;
   }
+  const MonotonicTime decided = options_.clock();
   for (WorkerOrder& order : orders) {
     Send(std::move(order));
   }
   ProposeFinishedRuns();
   PurgeOldJobs(now);
-  const std::chrono::nanoseconds duration = options_.clock() - now;
-  ++load_.steps;
-  load_.step_time += duration;
-  load_.longest_step = std::max(load_.longest_step, duration);
-  last_step_duration_ = duration;
+  const MonotonicTime sent = options_.clock();
+  load_.AddStep({.synchronize = synchronized - now,
+                 .decide = decided - synchronized,
+                 .send = sent - decided});
+  last_step_duration_ = sent - now;
 }
 
 void DispatchLoop::ReportLoad(MonotonicTime now) {
@@ -120,27 +118,11 @@
     return;
   }
   last_report_ = now;
-  const Load load = std::exchange(load_, {});
   if (dispatcher_ == nullptr) {
+    load_.Reset();
     return;
   }
-  const auto [orders, renewals] = options_.clients;
-  LogEvent(
-      kDispatchLoad,
-      {{"steps", load.steps},
-       {"step_ms", ToMilliseconds(load.step_time)},
-       {"longest_step_ms", ToMilliseconds(load.longest_step)},
-       {"longest_delay_ms", ToMilliseconds(load.longest_delay)},
-       {"responses", load.responses},
-       {"response_ms", ToMilliseconds(load.response_time)},
-       {"starts", load.starts},
-       {"renewals", load.renewals},
-       {"other_orders", load.other_orders},
-       {"connections", orders ? orders->open_connections() : 0},
-       {"calls_waiting", orders ? orders->waiting_calls() : 0},
-       {"renewal_connections", renewals ? renewals->open_connections() : 0},
-       {"renewals_waiting", renewals ? renewals->waiting_calls() : 0},
-       {"ready_tasks", dispatcher_->ready_task_count()}});
+  load_.Report(*dispatcher_, options_.clients);
 }
 
 void DispatchLoop::FollowLeadership() {
@@ -183,6 +165,7 @@
   LogEvent(kLeadershipLost,
            {{"leadership", dispatcher_->leader_epoch()}, {"reason", reason}});
   dispatcher_.reset();
+  load_.Reset();
   if (leadership_hook_) {
     leadership_hook_(false);
   }
@@ -191,10 +174,7 @@
 void DispatchLoop::Send(WorkerOrder order) {
   const MonotonicTime sent = options_.clock();
   const int64_t leader_epoch = dispatcher_->leader_epoch();
-  ++(std::holds_alternative<StartOrder>(order.body) ? load_.starts
-     : std::holds_alternative<LeaseRenewalOrder>(order.body)
-         ? load_.renewals
-         : load_.other_orders);
+  load_.AddOrder(order);
   options_.call_worker(
       order, leader_epoch,
       // An order may wait for a connection, or this process may be suspended
@@ -242,8 +222,7 @@
           order.worker, response.outcome, response.lease_renewal, sent, now);
     }
   });
-  ++load_.responses;
-  load_.response_time += options_.clock() - now;
+  load_.AddResponse(options_.clock() - now);
   ScheduleStep();
 }
 
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "packages/control/dispatch_load.h"
 #include "packages/control/replicated_queue.h"
 #include "packages/dispatch/dispatch.h"
 #include "packages/http/http.h"
@@ -27,13 +28,6 @@
                                         std::function<bool()> may_send,
                                         std::function<void(OrderResponse)>)>;
 
-// The clients that call workers. A renewal keeps a connection for up to its
-// wait, and must not wait for one itself while starts come in bursts.
-struct WorkerClients {
-  AsyncHttpClient* orders = nullptr;  // All but lease renewals.
-  AsyncHttpClient* renewals = nullptr;
-};
-
 // Runs a Dispatcher while this instance leads: passes it the state and the
 // responses of workers, sends its orders, and makes the outcomes of finished
 // runs durable.
@@ -86,19 +80,6 @@
   void PurgeOldJobs(MonotonicTime now);
   void ReportLoad(MonotonicTime now);
 
-  // Work of the loop since the last report.
-  struct Load {
-    int64_t steps = 0;
-    std::chrono::nanoseconds step_time{0};
-    std::chrono::nanoseconds longest_step{0};
-    std::chrono::nanoseconds longest_delay{0};
-    int64_t responses = 0;
-    std::chrono::nanoseconds response_time{0};
-    int64_t starts = 0;
-    int64_t renewals = 0;
-    int64_t other_orders = 0;
-  };
-
   IoLoop* const loop_;
   ReplicatedQueue* const queue_;
   const Options options_;
@@ -113,7 +94,7 @@
   MonotonicTime next_tick_;
   std::chrono::nanoseconds last_step_duration_{0};
   MonotonicTime last_report_;
-  Load load_;
+  DispatchLoad load_;
 };
 
 }  // namespace bramleyrail
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -120,6 +120,7 @@
 }
 
 void Dispatcher::SynchronizeJobs(const QueueState& state, MonotonicTime now) {
+  counters_.job_visits += state.jobs().size();
   for (const auto& [id, job] : state.jobs()) {
     if (job->outcome != JobOutcome::kOpen || jobs_.contains(id)) {
       continue;
@@ -138,6 +139,7 @@
     unreleased_jobs_.insert(id);
   }
   std::vector<std::string> closed;
+  counters_.job_visits += jobs_.size();
   for (const auto& [id, job_record] : jobs_) {
     const QueuedJob* job = state.FindJob(id);
     if (job == nullptr || job->outcome != JobOutcome::kOpen) {
@@ -152,6 +154,7 @@
                  : outcome == JobOutcome::kFailed  ? "failed"
                                                    : "cancelled");
     for (auto& [worker_id, worker] : workers_) {
+      counters_.run_visits += worker->runs().size();
       for (auto& [key, run] : worker->runs()) {
         if (key.first.job == id && run.phase != RunPhase::kStopping) {
           SendStop(worker.get(), key, &run, "the job has ended", now);
@@ -163,6 +166,7 @@
 
 void Dispatcher::CloseJob(const std::string& id, std::string_view reason) {
   LogEvent(kJobClosed, {{"job", id}, {"reason", reason}});
+  counters_.ready_task_visits += ready_.size();
   std::erase_if(
       ready_, [&](const ReadyKey& key) { return std::get<2>(key).job == id; });
   unreleased_jobs_.erase(id);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -56,6 +56,11 @@
     uint64_t cpu_limit_orders = 0;
     // How often a worker was rated for a task.
     uint64_t worker_ratings = 0;
+    // How often a job was looked at to follow changes of the state, and a ready
+    // task or a run because a job had ended.
+    uint64_t job_visits = 0;
+    uint64_t ready_task_visits = 0;
+    uint64_t run_visits = 0;
   };
 
   Dispatcher(Options options, int64_t leader_epoch, MonotonicTime now);
@@ -106,6 +111,7 @@
   int64_t leader_epoch() const { return leader_epoch_; }
   const Counters& counters() const { return counters_; }
   size_t worker_count() const { return workers_.size(); }
+  size_t job_count() const { return jobs_.size(); }
   size_t ready_task_count() const { return ready_.size(); }
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
