--- a/packages/bramleyraild/bramleyraild_main.cc
+++ b/packages/bramleyraild/bramleyraild_main.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "absl/synchronization/mutex.h"
 #include "packages/base/base.h"
 #include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/instance.h"
@@ -131,6 +132,8 @@
 }  // namespace bramleyrail
 
 int main(int argc, char** argv) {
+  // Debian builds Abseil with this debugging aid, which follows every lock.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   gflags::SetUsageMessage(
       "entry instance of bramleyrail\n"
       "  bramleyraild --settings=FILE [--check_settings]");
