Base: Bound the nesting of JSON and CBOR from other processes

Copying, printing and, for CBOR, decoding a value takes stack for each level of nesting, so a deeply nested value could end each process that read it. ParseJson also let the exception for a number that a double cannot hold pass to its callers, most of which do not expect one.

Both formats are now read by one handler that builds the value and stops at 64 levels; every failure comes back as an error. The targets that a peer reports are read field by field, since a field of another type threw. Also adds the encoding of a text as a JSON string.

Base.JsonThatWouldEndTheProcessIsRefused and Base.DeeplyNestedCborIsRefused guard against both.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -12,6 +12,7 @@
 #include "packages/base/file_descriptor.h"
 #include "packages/base/identifier.h"
 #include "packages/base/json.h"
+#include "packages/base/json_text.h"
 #include "packages/base/latency_histogram.h"
 #include "packages/base/log.h"
 #include "packages/base/log_rate_limit.h"
--- a/packages/base/cbor_codec.cc
+++ b/packages/base/cbor_codec.cc
@@ -10,13 +10,11 @@
 }
 
 Result<Json> FromCbor(std::span<const std::byte> data) {
-  const auto* begin = reinterpret_cast<const uint8_t*>(data.data());
-  Json json = Json::from_cbor(begin, begin + data.size(), /*strict=*/true,
-                              /*allow_exceptions=*/false);
-  if (json.is_discarded()) {
+  auto json = ParseCbor(data);
+  if (!json) {
     return DamagedError("the CBOR value");
   }
-  return json;
+  return std::move(*json);
 }
 
 Error DamagedError(std::string_view what) {
--- a/packages/base/json.cc
+++ b/packages/base/json.cc
@@ -1,20 +1,133 @@
 #include "packages/base/json.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
 namespace bramleyrail {
 
+namespace {
+
+// Builds a value from the events of a parser, and stops the parser at a value
+// that is nested too deeply: the one for binary formats takes stack for each
+// level.
+class DocumentBuilder final : public nlohmann::json_sax<Json> {
+ public:
+  Json& document() { return document_; }
+  bool is_too_deep() const { return is_too_deep_; }
+  const std::string& error() const { return error_; }
+
+  bool null() override { return Add(nullptr) != nullptr; }
+  bool boolean(bool value) override { return Add(value) != nullptr; }
+  bool number_integer(int64_t value) override { return Add(value) != nullptr; }
+  bool number_unsigned(uint64_t value) override {
+    return Add(value) != nullptr;
+  }
+  bool number_float(double value, const std::string&) override {
+    return Add(value) != nullptr;
+  }
+  bool string(std::string& value) override {
+    return Add(std::move(value)) != nullptr;
+  }
+  bool binary(Json::binary_t& value) override {
+    return Add(Json::binary(std::move(value))) != nullptr;
+  }
+  bool key(std::string& name) override {
+    member_ = &(*open_.back())[std::move(name)];
+    return true;
+  }
+  bool start_object(size_t) override { return Open(Json::object()); }
+  bool end_object() override { return Close(); }
+  bool start_array(size_t) override { return Open(Json::array()); }
+  bool end_array() override { return Close(); }
+  bool parse_error(size_t,
+                   const std::string&,
+                   const nlohmann::json::exception& error) override {
+    error_ = error.what();
+    return false;
+  }
+
+ private:
+  Json* Add(Json value) {
+    if (open_.empty()) {
+      document_ = std::move(value);
+      return &document_;
+    }
+    Json* parent = open_.back();
+    if (parent->is_array()) {
+      parent->push_back(std::move(value));
+      return &parent->back();
+    }
+    *member_ = std::move(value);
+    return member_;
+  }
+
+  bool Open(Json value) {
+    is_too_deep_ = open_.size() >= static_cast<size_t>(kMaximumNestingDepth);
+    if (!is_too_deep_) {
+      open_.push_back(Add(std::move(value)));
+    }
+    return !is_too_deep_;
+  }
+
+  bool Close() {
+    open_.pop_back();
+    return true;
+  }
+
+  Json document_;
+  std::vector<Json*> open_;  // The objects and arrays that are not complete.
+  Json* member_ = nullptr;   // Of the innermost object, for the next value.
+  bool is_too_deep_ = false;
+  std::string error_;
+};
+
+bool NeedsEscape(char character) {
+  const auto byte = static_cast<unsigned char>(character);
+  return byte < 0x20 || byte == '"' || byte == '\\' || byte >= 0x7f;
+}
+
+}  // namespace
+
+void AppendJsonString(std::string_view text, std::string* output) {
+  if (std::any_of(text.begin(), text.end(), NeedsEscape)) {
+    output->append(Json(std::string(text))
+                       .dump(-1, ' ', false, Json::error_handler_t::replace));
+    return;
+  }
+  output->push_back('"');
+  output->append(text);
+  output->push_back('"');
+}
+
 Result<Json> ParseJson(std::string_view text, JsonComments comments) {
-  try {
-    return Json::parse(text.begin(), text.end(), nullptr, true,
-                       comments == JsonComments::kAllow);
-  } catch (const nlohmann::json::parse_error& error) {
+  DocumentBuilder builder;
+  if (Json::sax_parse(text.begin(), text.end(), &builder,
+                      Json::input_format_t::json, /*strict=*/true,
+                      comments == JsonComments::kAllow)) {
+    return std::move(builder.document());
+  }
+  if (builder.is_too_deep()) {
     return MakeError(ErrorKind::kInvalidArgument,
-                     absl::StrCat("the text is not valid JSON: ", error.what()),
-                     "correct the syntax at the position named");
+                     absl::StrCat("the JSON value is nested more than ",
+                                  kMaximumNestingDepth, " levels deep"),
+                     "send the value with fewer levels");
+  }
+  return MakeError(
+      ErrorKind::kInvalidArgument,
+      absl::StrCat("the text is not valid JSON: ", builder.error()),
+      "correct the syntax at the position named");
+}
+
+std::optional<Json> ParseCbor(std::span<const std::byte> data) {
+  DocumentBuilder builder;
+  const auto* begin = reinterpret_cast<const uint8_t*>(data.data());
+  if (!Json::sax_parse(begin, begin + data.size(), &builder,
+                       Json::input_format_t::cbor)) {
+    return std::nullopt;
   }
+  return std::move(builder.document());
 }
 
 JsonReader::JsonReader(const Json& object,
--- a/packages/base/json.h
+++ b/packages/base/json.h
@@ -1,10 +1,12 @@
 #ifndef PACKAGES_BASE_JSON_H_
 #define PACKAGES_BASE_JSON_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,9 +19,24 @@
 
 enum class JsonComments { kRefuse, kAllow };
 
-// Parses text; a syntax error comes back with its position.
+// Copying and destroying a value takes stack for each level of nesting, so that
+// text from other processes could end this one.
+inline constexpr int kMaximumNestingDepth = 64;
+// Larger whole numbers are not exact in every JSON implementation.
+inline constexpr int64_t kMaximumJsonInteger = (int64_t{1} << 53) - 1;
+
+// Parses text; a syntax error comes back with its position. Refuses values that
+// are nested more deeply than kMaximumNestingDepth, and numbers that a double
+// cannot hold.
 Result<Json> ParseJson(std::string_view text, JsonComments comments);
 
+// Parses one value in CBOR. nullopt when the bytes are not valid, or are nested
+// more deeply than kMaximumNestingDepth.
+std::optional<Json> ParseCbor(std::span<const std::byte> data);
+
+// Appends the text as a JSON string. Invalid UTF-8 is replaced by U+FFFD.
+void AppendJsonString(std::string_view text, std::string* output);
+
 // Reads the fields of one JSON object and collects every fault by field path,
 // so that a faulty input is refused whole with all its faults at once.
 //
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -21,6 +21,49 @@
   CHECK(!ValidateName(std::string(64, 'a')).has_value());
 }
 
+// Guards against values whose levels take more stack to copy than a thread has,
+// and against an exception for a number that a double cannot hold.
+TEST(Base, JsonThatWouldEndTheProcessIsRefused) {
+  const auto nested = [](int levels) {
+    return std::string(levels, '[') + std::string(levels, ']');
+  };
+  CHECK(ParseJson(nested(kMaximumNestingDepth), JsonComments::kRefuse)
+            .has_value());
+  for (const int levels : {kMaximumNestingDepth + 1, 200'000}) {
+    const auto refused = ParseJson(nested(levels), JsonComments::kRefuse);
+    CHECK(!refused);
+    CHECK(refused.error().kind == ErrorKind::kInvalidArgument);
+  }
+  CHECK(!ParseJson(R"({"seq":1e999})", JsonComments::kRefuse));
+  CHECK(ParseJson("// [[[[\n" + nested(kMaximumNestingDepth),
+                  JsonComments::kAllow)
+            .has_value());
+}
+
+// Guards against a message of a peer that ends the process: the decoder takes
+// stack for each level.
+TEST(Base, DeeplyNestedCborIsRefused) {
+  constexpr std::byte kArrayOfOne{0x81};
+  std::vector<std::byte> data(1'000'000, kArrayOfOne);
+  CHECK(!codec::FromCbor(data));
+  data.back() = std::byte{0x00};
+  CHECK(!codec::FromCbor(data));
+  CHECK(
+      codec::FromCbor(std::span(data).last(kMaximumNestingDepth)).has_value());
+}
+
+TEST(Base, JsonStringsAreEscapedAsTheyAreRead) {
+  for (const std::string text :
+       {"", "plain", "\"quoted\" \\ back", "\n\t\x01\x7f", "\u00e4\u2028"}) {
+    std::string output = "x";
+    AppendJsonString(text, &output);
+    CHECK(ParseJson(output.substr(1), JsonComments::kRefuse).value() == text);
+  }
+  std::string output;
+  AppendJsonString("\xff", &output);
+  CHECK(ParseJson(output, JsonComments::kRefuse).has_value());
+}
+
 // Guards against a reader that stops at the first fault.
 TEST(Base, JsonReaderCollectsEveryFaultWithItsPath) {
   const Json object =
--- a/packages/bramleyraild/live_target_reporter.cc
+++ b/packages/bramleyraild/live_target_reporter.cc
@@ -1,5 +1,6 @@
 #include "packages/bramleyraild/live_target_reporter.h"
 
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -21,32 +22,43 @@
           {"connections_in_use", target.connections_in_use}};
 }
 
-LiveTarget FromJson(const Json& json, const std::string& instance) {
+// Returns nullopt when a field is of another type.
+std::optional<LiveTarget> FromJson(const Json& json,
+                                   const std::string& instance) {
+  constexpr auto kOptional = JsonReader::Presence::kOptional;
+  std::vector<FieldFault> faults;
+  JsonReader reader(json, "target", &faults);
+  const auto text = [&](std::string_view field) {
+    return reader.String(field, kOptional).value_or("");
+  };
+  const auto count = [&](std::string_view field) {
+    return reader.Integer(field, kOptional, {}).value_or(0);
+  };
   LiveTarget target;
-  target.name = json.value("name", "");
-  target.service = json.value("service", "");
-  target.failure_domain = json.value("failure_domain", "");
-  target.address = json.value("address", "");
+  target.name = text("name");
+  target.service = text("service");
+  target.failure_domain = text("failure_domain");
+  target.address = text("address");
   target.instance = instance;
-  target.state = json.value("state", "");
-  target.slots = json.value("slots", int64_t{0});
-  target.slots_in_use = json.value("slots_in_use", int64_t{0});
-  target.connections = json.value("connections", int64_t{0});
-  target.connections_in_use = json.value("connections_in_use", int64_t{0});
-  return target;
+  target.state = text("state");
+  target.slots = count("slots");
+  target.slots_in_use = count("slots_in_use");
+  target.connections = count("connections");
+  target.connections_in_use = count("connections_in_use");
+  return faults.empty() ? std::optional(std::move(target)) : std::nullopt;
 }
 
 // An answer of another version is left out rather than trusted in part.
 void AppendTargets(const std::string& instance,
                    std::span<const std::byte> answer,
                    std::vector<LiveTarget>* targets) {
-  const Json json = Json::from_cbor(answer, true, false);
-  if (!json.is_array()) {
+  const auto json = codec::FromCbor(answer);
+  if (!json || !json.value().is_array()) {
     return;
   }
-  for (const Json& entry : json) {
-    if (entry.is_object()) {
-      targets->push_back(FromJson(entry, instance));
+  for (const Json& entry : json.value()) {
+    if (auto target = FromJson(entry, instance)) {
+      targets->push_back(std::move(*target));
     }
   }
 }
