--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -131,6 +131,15 @@
   }
 }
 
+Result<void> AsyncHttpClient::ValidateAddress(std::string_view address) {
+  TRY(endpoint, ParseTcpEndpoint(address));
+  if (endpoint.port() == 0) {
+    return MakeError(ErrorKind::kInvalidArgument, "the address has no port",
+                     "write the port on which the server listens");
+  }
+  return Success();
+}
+
 void AsyncHttpClient::Call(const std::string& address,
                            HttpRequest request,
                            Milliseconds timeout,
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -40,6 +40,9 @@
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
 
+  // Whether Call() can be given the address: an IP address and a port.
+  static Result<void> ValidateAddress(std::string_view address);
+
   // Calls `address` ("10.0.0.1:8080"). `may_send` runs just before the request
   // is written, which may be long after Call(). The callback runs once, never
   // inside Call(), after `timeout` or when the loop comes to it: a response
