Control: Record no heartbeat that names no usable worker

A heartbeat of another writer with an unknown pool or failure domain was recorded like any other. A registration takes the place of earlier workers at its address, so an odd entry with the address of a sound worker removed that worker, and its tasks started again while they ran.

Such a heartbeat is now acknowledged, logged (9314) and not recorded, unless the worker is registered already. Workers still register before the first configuration.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -150,8 +151,12 @@
     options.call_worker = hooks_.worker_caller(options.clients);
     dispatch_ = std::make_unique<DispatchLoop>(loop_.get(), queue_.get(),
                                                std::move(options));
-    service_ = std::make_unique<ControlService>(loop_.get(), queue_.get(),
-                                                dispatch_.get());
+    std::set<std::string> failure_domains;
+    for (const auto& [name, region] : settings_.region_of_failure_domain) {
+      failure_domains.insert(name);
+    }
+    service_ = std::make_unique<ControlService>(
+        loop_.get(), queue_.get(), dispatch_.get(), std::move(failure_domains));
     handle_caller_ = hooks_.caller_handler(service_.get());
     handle_control_ = hooks_.control_handler(service_.get());
   }
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -10,6 +10,7 @@
 #include "packages/control/dispatch_load.h"
 #include "packages/control/dispatch_loop.h"
 #include "packages/control/leader_relay.h"
+#include "packages/control/registration_check.h"
 #include "packages/control/relayed_message.h"
 #include "packages/control/replicated_queue.h"
 
--- a/packages/control/control_events.h
+++ b/packages/control/control_events.h
@@ -31,6 +31,8 @@
                                                  "wave_ordered"};
 inline constexpr LogEventDefinition kDispatchLoad{9313, LogSeverity::kInfo,
                                                   "dispatch_load"};
+inline constexpr LogEventDefinition kHeartbeatIgnored{
+    9314, LogSeverity::kWarning, "heartbeat_ignored"};
 
 }  // namespace bramleyrail
 
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "packages/control/control_events.h"
+#include "packages/control/registration_check.h"
 
 namespace bramleyrail {
 
@@ -53,10 +54,12 @@
 
 ControlService::ControlService(IoLoop* loop,
                                ReplicatedQueue* queue,
-                               DispatchLoop* dispatch)
+                               DispatchLoop* dispatch,
+                               std::set<std::string> failure_domains)
     : loop_(loop),
       queue_(queue),
       dispatch_(dispatch),
+      failure_domains_(std::move(failure_domains)),
       alive_(std::make_shared<bool>(true)) {}
 
 ControlService::~ControlService() {
@@ -293,12 +296,16 @@
   registration.heartbeat_sequence = heartbeat.sequence;
   dispatch_->ObserveClock(registration.id, registration.started_unix_ms,
                           heartbeat.clock_ms);
-  const bool known = queue_->Read([&registration](const QueueState& state) {
-    const auto found = state.workers().find(registration.id);
-    return found != state.workers().end() &&
-           DescribeAlike(found->second, registration);
+  const RegistrationCheck check = queue_->Read([&](const QueueState& state) {
+    return CheckRegistration(state, registration, failure_domains_);
   });
-  if (known) {
+  if (check != RegistrationCheck::kNew) {
+    if (check == RegistrationCheck::kUnusable) {
+      LogEvent(kHeartbeatIgnored,
+               {{"worker", registration.id},
+                {"pool", registration.pool},
+                {"failure_domain", registration.failure_domain}});
+    }
     callback(Success());
     return;
   }
--- a/packages/control/control_service.h
+++ b/packages/control/control_service.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -42,7 +43,11 @@
     std::string path;
   };
 
-  ControlService(IoLoop* loop, ReplicatedQueue* queue, DispatchLoop* dispatch);
+  // Workers are registered only from these failure domains; empty: from any.
+  ControlService(IoLoop* loop,
+                 ReplicatedQueue* queue,
+                 DispatchLoop* dispatch,
+                 std::set<std::string> failure_domains);
   ~ControlService();
 
   // True when this instance leads and has taken over.
@@ -90,6 +95,7 @@
   IoLoop* const loop_;
   ReplicatedQueue* const queue_;
   DispatchLoop* const dispatch_;
+  const std::set<std::string> failure_domains_;
   const std::shared_ptr<bool> alive_;
   // Start of the incarnation and sequence number of each worker's newest
   // heartbeat.
