--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -175,18 +175,19 @@
   const MonotonicTime sent = options_.clock();
   const int64_t leader_epoch = dispatcher_->leader_epoch();
   load_.AddOrder(order);
+  const auto shared = std::make_shared<const WorkerOrder>(std::move(order));
   options_.call_worker(
-      order, leader_epoch,
+      shared, leader_epoch,
       // An order may wait for a connection, or this process may be suspended
       // meanwhile, and another instance may lead by then.
       [this, alive = alive_, leader_epoch] {
         return *alive && StillLeads(leader_epoch) &&
                queue_->replica().IsLeader();
       },
-      [this, alive = alive_, order, sent,
+      [this, alive = alive_, shared, sent,
        leader_epoch](const OrderResponse& response) {
         if (*alive && StillLeads(leader_epoch)) {
-          HandleResponse(order, response, sent);
+          HandleResponse(*shared, response, sent);
         }
       });
 }
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -23,7 +23,7 @@
 // Sends an order with the leader epoch as its fencing token. `may_send` is
 // asked just before the order is written. The callback runs once, on the thread
 // of the loop, and not inside the call.
-using WorkerCaller = std::function<void(const WorkerOrder& order,
+using WorkerCaller = std::function<void(std::shared_ptr<const WorkerOrder> order,
                                         int64_t fence,
                                         std::function<bool()> may_send,
                                         std::function<void(OrderResponse)>)>;
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -259,7 +259,7 @@
   tracked.job = job->shared_job();
   tracked.step = &step;
   tracked.reserved = step.size;
-  tracked.payload = job->job().specification.payload;
+  tracked.payload = job->payload();
   TaskName source = task;
   source.index = step.gang ? 0 : task.index;
   tracked.checkpoint = job->task(source).checkpoint;
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -290,8 +290,10 @@
     run->measurement = reported.measurement;
     RecordMeasurement(run, now);
   }
-  // The end of a run may be behind the listed ones.
-  if (response.finished.size() >= kMaximumListedFinishedRuns) {
+  // The end of a run may be behind the listed ones, or in an entry that cannot
+  // be read.
+  if (!response.complete ||
+      response.finished.size() >= kMaximumListedFinishedRuns) {
     return;
   }
   worker->contacted = true;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -366,6 +366,12 @@
   if (worker == nullptr) {
     return;
   }
+  // An entry that cannot be read may be a run of an earlier leader. Without
+  // further leases it ends, and its task can start again.
+  if (outcome == OrderOutcome::kAccepted && !response.complete &&
+      !worker->contacted) {
+    outcome = OrderOutcome::kUnknown;
+  }
   // Two renewals may be in flight after the leases have expired.
   if (sent >= worker->last_renewal_sent) {
     worker->renewal_in_flight = false;
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -147,5 +147,42 @@
   LONGS_EQUAL(1, dispatcher.counters().runs_completed);
 }
 
+// Fails when a run counts as vanished because the entry of its end, or its own,
+// cannot be read: the task would run twice.
+TEST(WorkerContact, RunMissingInAnIncompleteListStaysActive) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  const RunKey run(starts.front().task, starts.front().run);
+  ListRunning(5'010, {run});
+  LeaseRenewalResponse response;
+  response.clock_ms = 5'050;
+  response.complete = false;
+  now_ += Milliseconds(50);
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+  ListRunning(5'200, {});
+  LONGS_EQUAL(1, Step<StartOrder>(Milliseconds(100)).size());
+}
+
+// Fails when a new leader renews the lease of a worker whose lists it cannot
+// read completely: a run that it does not see would go on, and its task wait
+// for ever or run twice.
+TEST(WorkerContact, WorkerWithIncompleteListsGetsNoLeaseFromANewLeader) {
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  dispatcher_->ObserveClock("w", kUnixMs, 5'000, now_);
+  LeaseRenewalResponse response;
+  response.clock_ms = 5'000;
+  response.complete = false;
+  Step<LeaseRenewalOrder>(Milliseconds(10));
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  const auto renewals = Step<LeaseRenewalOrder>(Milliseconds(300));
+  LONGS_EQUAL(1, renewals.size());
+  CHECK(!renewals.front().lease_until_ms);
+}
+
 }  // namespace
 }  // namespace bramleyrail
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -23,7 +23,10 @@
 }  // namespace
 
 TrackedJob::TrackedJob(std::shared_ptr<const QueuedJob> job, Origin origin)
-    : job_(std::move(job)), origin_(origin) {
+    : job_(std::move(job)),
+      payload_(
+          std::make_shared<const JsonText>(job_->specification.payload)),
+      origin_(origin) {
   const JobSpecification& specification = job_->specification;
   critical_path_ms_ = CriticalPathFromEachStep(specification);
   const int64_t longest_ms = critical_path_ms_.empty()
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -66,6 +66,7 @@
 
   const QueuedJob& job() const { return *job_; }
   const std::shared_ptr<const QueuedJob>& shared_job() const { return job_; }
+  const std::shared_ptr<const JsonText>& payload() const { return payload_; }
   const JobStep& step(const TaskName& task) const {
     return job_->specification.steps[task.step];
   }
@@ -104,6 +105,9 @@
   std::vector<TaskName> MarkStepReady(int64_t occurrence, int64_t step);
 
   const std::shared_ptr<const QueuedJob> job_;
+  // A copy, because the state discards the payload when the job ends, while
+  // start orders may still be on their way to the network.
+  const std::shared_ptr<const JsonText> payload_;
   const Origin origin_;
   std::vector<TrackedOccurrence> occurrences_;
   // Estimated duration of the longest chain of steps from each step on.
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -45,7 +45,8 @@
   std::optional<MonotonicTime> confirmed;
   // A list of this incarnation of the worker has named the run.
   bool listed = false;
-  std::string payload;     // Kept for retries of the start order.
+  // Kept for retries of the start order.
+  std::shared_ptr<const JsonText> payload;
   std::string checkpoint;  // The run starts from it; empty: none.
   int64_t progress_percent = 0;
   MonotonicTime progress_changed;
--- a/packages/dispatch/worker_order.h
+++ b/packages/dispatch/worker_order.h
@@ -2,6 +2,7 @@
 #define PACKAGES_DISPATCH_WORKER_ORDER_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -22,7 +23,8 @@
 struct StartOrder {
   TaskName task;
   uint64_t run = 0;
-  std::string payload;
+  // Shared by the starts of a job; null: empty.
+  std::shared_ptr<const JsonText> payload;
   int64_t lease_until_ms = 0;  // On the worker's clock.
   std::string checkpoint;      // Empty: start from the beginning.
   std::string ticket;          // Empty: the pool requires no ticket.
@@ -100,6 +102,9 @@
   int64_t clock_ms = 0;  // The worker's clock when it responded.
   std::vector<ReportedRun> running;
   std::vector<ReportedFinishedRun> finished;
+  // False when the worker listed an entry that cannot be read: a run that is
+  // missing in the lists may still be active then, or may have finished.
+  bool complete = true;
 };
 
 }  // namespace bramleyrail
