Queue, Dispatch: Make the cost of a start independent of the backlog

Each change of the open jobs walked all jobs, each ended job all ready tasks and all runs of all workers, and each step that found no worker rated every worker again 75 ms after its last attempt, at a time of its own. So the more waited, the dearer each start became.

- QueueState keeps a log of the jobs that were added or have ended, and the leader looks at these only.
- Ready tasks are kept by job step (ReadySteps).
The end of a job looks at its own steps, and at the workers that had a run of it.
- Steps without a worker are tried again together.
A request that needs at least as much as one that failed in the same pass fails without ratings.
- Occurrences that are not due are kept by their time, and workers are looked at after their responses and otherwise every 10 ms.
- Task names share the id of their job.
A list of runs is compared by a number in place of a set of names.
A count of waiting jobs walks the open jobs.

--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -199,18 +199,8 @@
     callback(IsLeaderNow() ? location.error() : NotLeading());
     return;
   }
-  const std::string& name = location.value().queue.name;
-  const Dispatcher& dispatcher = *dispatch_->dispatcher();
-  const int64_t pending = queue_->Read([&](const QueueState& state) {
-    int64_t count = 0;
-    for (const auto& [id, job] : state.jobs()) {
-      const bool waits = job->outcome == JobOutcome::kOpen &&
-                         job->queue == name && !dispatcher.HasStarted(id);
-      count += waits ? 1 : 0;
-    }
-    return count;
-  });
-  callback(pending);
+  callback(
+      dispatch_->dispatcher()->CountWaitingJobs(location.value().queue.name));
 }
 
 void ControlService::ReplaceConfiguration(QueueConfiguration configuration,
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -19,6 +19,9 @@
 // clocks that are 2% slow. Covers a worker that was paused and stops its runs
 // only after it resumes.
 constexpr Milliseconds kTakeoverMargin{600};
+// Interval at which all workers are looked at for what is due by time. After a
+// response of a worker, the next step looks at it.
+constexpr Milliseconds kWorkerSweepInterval{10};
 
 }  // namespace
 
@@ -36,16 +39,22 @@
   return same_incarnation ? found->second.get() : nullptr;
 }
 
-TrackedJob* Dispatcher::FindJob(const std::string& id) {
+TrackedJob* Dispatcher::FindJob(std::string_view id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-bool Dispatcher::HasStarted(const std::string& job) const {
+bool Dispatcher::HasStarted(std::string_view job) const {
   const auto found = jobs_.find(job);
   return found != jobs_.end() && found->second->started;
 }
 
+int64_t Dispatcher::CountWaitingJobs(std::string_view queue) const {
+  return std::count_if(jobs_.begin(), jobs_.end(), [queue](const auto& item) {
+    return item.second->job().queue == queue && !item.second->started;
+  });
+}
+
 uint64_t Dispatcher::NextRunNumber(const TrackedTask& task) const {
   const uint64_t base =
       static_cast<uint64_t>(leader_epoch_ - 1) * kRunNumbersPerLeaderEpoch;
@@ -58,8 +67,8 @@
     SynchronizeWorkers(state, now);
   }
   if (jobs_revision_ != state.jobs_revision()) {
-    jobs_revision_ = state.jobs_revision();
     SynchronizeJobs(state, now);
+    jobs_revision_ = state.jobs_revision();
   }
   if (!synchronized_) {
     synchronized_ = true;
@@ -120,63 +129,99 @@
 }
 
 void Dispatcher::SynchronizeJobs(const QueueState& state, MonotonicTime now) {
-  counters_.job_visits += state.jobs().size();
-  for (const auto& [id, job] : state.jobs()) {
-    if (job->outcome != JobOutcome::kOpen || jobs_.contains(id)) {
-      continue;
+  if (const auto changed = state.JobsChangedSince(jobs_revision_);
+      changed && synchronized_) {
+    for (const std::string& id : *changed) {
+      SynchronizeJob(state, id, now);
     }
-    auto job_record = std::make_unique<TrackedJob>(
-        job, synchronized_ ? TrackedJob::Origin::kThisLeaderEpoch
-                           : TrackedJob::Origin::kEarlierLeaderEpoch);
-    LogEvent(kJobTracked,
-             {{"job", id},
-              {"queue", job->queue},
-              {"steps", job->specification.steps.size()},
-              {"priority", job->priority},
-              {"objective_unix_ms", job_record->objective_unix_ms()},
-              {"new", synchronized_}});
-    jobs_.emplace(id, std::move(job_record));
-    unreleased_jobs_.insert(id);
+    return;
   }
-  std::vector<std::string> closed;
-  counters_.job_visits += jobs_.size();
-  for (const auto& [id, job_record] : jobs_) {
-    const QueuedJob* job = state.FindJob(id);
-    if (job == nullptr || job->outcome != JobOutcome::kOpen) {
-      closed.push_back(id);
-    }
+  std::vector<std::string> tracked;
+  for (const auto& [id, job] : jobs_) {
+    tracked.push_back(id);
   }
-  for (const std::string& id : closed) {
-    const QueuedJob* job = state.FindJob(id);
-    const JobOutcome outcome =
-        job == nullptr ? JobOutcome::kCancelled : job->outcome;
-    CloseJob(id, outcome == JobOutcome::kCompleted ? "completed"
-                 : outcome == JobOutcome::kFailed  ? "failed"
-                                                   : "cancelled");
-    for (auto& [worker_id, worker] : workers_) {
-      counters_.run_visits += worker->runs().size();
-      for (auto& [key, run] : worker->runs()) {
-        if (key.first.job == id && run.phase != RunPhase::kStopping) {
-          SendStop(worker.get(), key, &run, "the job has ended", now);
-        }
-      }
+  for (const std::string& id : tracked) {
+    SynchronizeJob(state, id, now);
+  }
+  for (const auto& [id, job] : state.jobs()) {
+    SynchronizeJob(state, id, now);
+  }
+}
+
+void Dispatcher::SynchronizeJob(const QueueState& state,
+                                const std::string& id,
+                                MonotonicTime now) {
+  ++counters_.job_visits;
+  const auto found = state.jobs().find(id);
+  const bool known = found != state.jobs().end();
+  const JobOutcome outcome =
+      known ? found->second->outcome : JobOutcome::kCancelled;
+  if (outcome == JobOutcome::kOpen) {
+    if (!jobs_.contains(id)) {
+      TrackJob(found->second);
     }
+    return;
+  }
+  if (jobs_.contains(id)) {
+    CloseJob(id,
+             outcome == JobOutcome::kCompleted ? "completed"
+             : outcome == JobOutcome::kFailed  ? "failed"
+                                               : "cancelled",
+             now);
   }
 }
 
-void Dispatcher::CloseJob(const std::string& id, std::string_view reason) {
+void Dispatcher::TrackJob(std::shared_ptr<const QueuedJob> job) {
+  const std::string id = job->id;
+  auto tracked = std::make_unique<TrackedJob>(
+      std::move(job), synchronized_ ? TrackedJob::Origin::kThisLeaderEpoch
+                                    : TrackedJob::Origin::kEarlierLeaderEpoch);
+  LogEvent(kJobTracked, {{"job", id},
+                         {"queue", tracked->job().queue},
+                         {"steps", tracked->job().specification.steps.size()},
+                         {"priority", tracked->job().priority},
+                         {"objective_unix_ms", tracked->objective_unix_ms()},
+                         {"new", synchronized_}});
+  releases_.emplace(*tracked->NextReleaseUnixMs(), id);
+  jobs_.emplace(id, std::move(tracked));
+}
+
+void Dispatcher::CloseJob(const std::string& id,
+                          std::string_view reason,
+                          MonotonicTime now) {
   LogEvent(kJobClosed, {{"job", id}, {"reason", reason}});
-  counters_.ready_task_visits += ready_.size();
-  std::erase_if(
-      ready_, [&](const ReadyKey& key) { return std::get<2>(key).job == id; });
-  unreleased_jobs_.erase(id);
-  jobs_.erase(id);
+  const auto closed = jobs_.find(id);
+  counters_.ready_task_visits += ready_.RemoveJob(closed->second.get());
+  StopRunsOfEndedJob(*closed->second, now);
+  if (const auto next = closed->second->NextReleaseUnixMs()) {
+    releases_.erase({*next, id});
+  }
+  jobs_.erase(closed);
 }
 
-void Dispatcher::EnqueueReadyTasks(const TrackedJob& job,
+void Dispatcher::StopRunsOfEndedJob(const TrackedJob& job, MonotonicTime now) {
+  const SharedText& id = job.shared_id();
+  for (const std::string& worker_id : job.workers) {
+    const auto worker = workers_.find(worker_id);
+    if (worker == workers_.end()) {
+      continue;
+    }
+    std::map<RunKey, TrackedRun>& runs = worker->second->runs();
+    for (auto run = runs.lower_bound({{id, 0, 0, 0}, 0});
+         run != runs.end() && run->first.first.job == id; ++run) {
+      ++counters_.run_visits;
+      if (run->second.phase != RunPhase::kStopping) {
+        SendStop(worker->second.get(), run->first, &run->second,
+                 "the job has ended", now);
+      }
+    }
+  }
+}
+
+void Dispatcher::EnqueueReadyTasks(TrackedJob* job,
                                    const std::vector<TaskName>& tasks) {
   for (const TaskName& task : tasks) {
-    ready_.emplace(job.job().priority, job.objective_unix_ms(), task);
+    ready_.Add(job, task);
   }
 }
 
@@ -188,18 +233,35 @@
   }
   unix_ms_ = unix_ms;
   ObserveLag(now);
-  for (auto position = unreleased_jobs_.begin();
-       position != unreleased_jobs_.end();) {
-    TrackedJob* job = FindJob(*position);
-    EnqueueReadyTasks(*job, job->Release(unix_ms));
-    const bool released =
-        std::all_of(job->occurrences().begin(), job->occurrences().end(),
-                    [](const TrackedOccurrence& occurrence) {
-                      return occurrence.released;
-                    });
-    position =
-        released ? unreleased_jobs_.erase(position) : std::next(position);
+  ReleaseDueJobs();
+  StepWorkers(now);
+  PlaceReadyTasks(state, now);
+  return std::exchange(orders_, {});
+}
+
+void Dispatcher::ReleaseDueJobs() {
+  while (!releases_.empty() && releases_.begin()->first <= unix_ms_) {
+    const std::string id = releases_.begin()->second;
+    releases_.erase(releases_.begin());
+    TrackedJob* job = FindJob(id);
+    EnqueueReadyTasks(job, job->Release(unix_ms_));
+    if (const auto next = job->NextReleaseUnixMs()) {
+      releases_.emplace(*next, id);
+    }
   }
+}
+
+void Dispatcher::StepWorkers(MonotonicTime now) {
+  for (const std::string& id : std::exchange(due_workers_, {})) {
+    const auto found = workers_.find(id);
+    if (found != workers_.end()) {
+      StepWorker(found->second.get(), now);
+    }
+  }
+  if (now < next_worker_sweep_) {
+    return;
+  }
+  next_worker_sweep_ = now + kWorkerSweepInterval;
   for (auto position = workers_.begin(); position != workers_.end();) {
     TrackedWorker* worker = position->second.get();
     StepWorker(worker, now);
@@ -208,8 +270,6 @@
                       worker->earlier_runs_resolved();
     position = gone ? workers_.erase(position) : std::next(position);
   }
-  PlaceReadyTasks(state, now);
-  return std::exchange(orders_, {});
 }
 
 MonotonicTime Dispatcher::EndOfEarlierLeases() const {
@@ -244,7 +304,8 @@
                           MonotonicTime now) {
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
-  ready_.erase({job->job().priority, job->objective_unix_ms(), task});
+  ready_.Remove(job, task);
+  job->workers.insert(worker->registration().id);
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = run;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -8,11 +8,13 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "packages/dispatch/cpu_limit_policy.h"
+#include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/ready_steps.h"
 #include "packages/dispatch/tracked_job.h"
 #include "packages/dispatch/tracked_worker.h"
 #include "packages/dispatch/worker_order.h"
@@ -105,46 +107,53 @@
                     MonotonicTime now);
 
   // Whether a task of the job is known to have started.
-  bool HasStarted(const std::string& job) const;
+  bool HasStarted(std::string_view job) const;
+  // Open jobs of the queue without such a task.
+  int64_t CountWaitingJobs(std::string_view queue) const;
   // A worker follows a newer leader, so this one must not send any more orders.
   bool superseded() const { return superseded_; }
   int64_t leader_epoch() const { return leader_epoch_; }
   const Counters& counters() const { return counters_; }
   size_t worker_count() const { return workers_.size(); }
   size_t job_count() const { return jobs_.size(); }
-  size_t ready_task_count() const { return ready_.size(); }
+  size_t ready_task_count() const { return ready_.task_count(); }
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
  private:
-  // Priority, Unix time of the job's objective, task.
-  using ReadyKey = std::tuple<int64_t, int64_t, TaskName>;
-
   TrackedWorker* FindWorker(const WorkerAddress& address);
-  TrackedJob* FindJob(const std::string& id);
+  TrackedJob* FindJob(std::string_view id);
   uint64_t NextRunNumber(const TrackedTask& task) const;
-  void EnqueueReadyTasks(const TrackedJob& job,
-                         const std::vector<TaskName>& tasks);
+  void EnqueueReadyTasks(TrackedJob* job, const std::vector<TaskName>& tasks);
   void SynchronizeWorkers(const QueueState& state, MonotonicTime now);
   void SynchronizeJobs(const QueueState& state, MonotonicTime now);
-  void CloseJob(const std::string& id, std::string_view reason);
+  void SynchronizeJob(const QueueState& state,
+                      const std::string& id,
+                      MonotonicTime now);
+  void TrackJob(std::shared_ptr<const QueuedJob> job);
+  void CloseJob(const std::string& id,
+                std::string_view reason,
+                MonotonicTime now);
+  void StopRunsOfEndedJob(const TrackedJob& job, MonotonicTime now);
 
-  // Eligible workers by pool, found once for each step of the dispatcher.
-  using EligibleByPool = std::map<std::string, EligibleWorkers>;
-  // How many tasks, or gangs, may still start, and be tried, in this step.
-  struct PlacementBudget {
-    bool IsSpent() const { return starts <= 0 || attempts <= 0; }
+  // One pass over the ready tasks.
+  struct PlacementPass {
+    bool IsOver() const { return starts_left <= 0 || attempts_left <= 0; }
 
-    int64_t starts = 0;
-    int64_t attempts = 0;
+    MonotonicTime now;
+    // How many tasks, or gangs, may still start, and be tried.
+    int64_t starts_left = 0;
+    int64_t attempts_left = 0;
+    // Eligible workers by pool, found once.
+    std::map<std::string, EligibleWorkers> eligible;
+    FailedRequests failed;
   };
   void PlaceReadyTasks(const QueueState& state, MonotonicTime now);
-  // Places the ready tasks of one job step that `first` and the keys after it
-  // name.
-  void PlaceStep(const ReadyKey& first,
+  // Places the ready tasks of the job step that `task` names.
+  void PlaceStep(TaskName task,
+                 TrackedJob* job,
                  const EligibleWorkers& eligible,
-                 MonotonicTime now,
-                 PlacementBudget* budget);
+                 PlacementPass* pass);
   // Start the task, or the gang. Without a worker for the task, or for a member
   // of the gang, the selection says why. `ranking` is shared by the tasks of a
   // step and built here when needed.
@@ -153,11 +162,11 @@
                             const TaskName& task,
                             Milliseconds waited,
                             std::optional<WorkerRanking>* ranking,
-                            MonotonicTime now);
+                            PlacementPass* pass);
   WorkerSelection PlaceGang(const EligibleWorkers& eligible,
                             TrackedJob* job,
                             const TaskName& first,
-                            MonotonicTime now);
+                            PlacementPass* pass);
   static Milliseconds WaitOf(const TrackedStep& step, MonotonicTime now);
   static void EndWait(TargetProtection protection,
                       MonotonicTime now,
@@ -183,6 +192,8 @@
                 std::string_view reason,
                 MonotonicTime now);
   void SendCpuLimit(TrackedWorker* worker, const RunKey& key, TrackedRun* run);
+  void ReleaseDueJobs();
+  void StepWorkers(MonotonicTime now);
   void StepWorker(TrackedWorker* worker, MonotonicTime now);
   void RetryOrders(TrackedWorker* worker, MonotonicTime now);
   void MoveRunsOffDrainingWorker(TrackedWorker* worker, MonotonicTime now);
@@ -265,9 +276,13 @@
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
   TrackedWorkers workers_;
-  std::map<std::string, std::unique_ptr<TrackedJob>> jobs_;
-  std::set<ReadyKey> ready_;
-  std::set<std::string> unreleased_jobs_;  // Some occurrences are not due yet.
+  // Ids of workers that may be due for an order before the next sweep.
+  std::vector<std::string> due_workers_;
+  MonotonicTime next_worker_sweep_;
+  std::map<std::string, std::unique_ptr<TrackedJob>, std::less<>> jobs_;
+  ReadySteps ready_;
+  // When the next occurrence of a job is due, and the job.
+  std::set<std::pair<int64_t, std::string>> releases_;
   std::vector<WorkerOrder> orders_;
   std::vector<FinishedRun> finished_runs_;
   // By worker, the highest number of a finished run that was received since the
@@ -279,6 +294,7 @@
   MonotonicTime last_step_;
   MonotonicTime last_lag_;  // When the owner was last late with a step.
   Milliseconds longest_wait_{0};
+  MonotonicTime next_resume_;  // Of the steps that wait for a worker.
   bool synchronized_ = false;
   // Of the state that was last applied.
   uint64_t workers_revision_ = 0;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -1,7 +1,6 @@
 // Placement of ready tasks.
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "packages/dispatch/dispatch_events.h"
@@ -16,8 +15,8 @@
 // block the tasks behind them.
 constexpr int64_t kMaximumStartsPerStep = 100;
 constexpr int64_t kMaximumAttemptsPerStep = 400;
-// Pause after a task found no worker, before tasks of the same job step are
-// placed again.
+// Interval at which job steps that wait for a worker are tried again, all of
+// them together, so that they share the requests that fail.
 constexpr Milliseconds kPlacementRetryInterval{75};
 // A task that may crash its worker waits this long for one without other recent
 // runs.
@@ -35,72 +34,69 @@
 
 void Dispatcher::PlaceReadyTasks(const QueueState& state, MonotonicTime now) {
   const bool all_contacted = AllWorkersContacted(now);
-  EligibleByPool eligible;
-  PlacementBudget budget{kMaximumStartsPerStep, kMaximumAttemptsPerStep};
-  longest_wait_ = Milliseconds(0);
-  for (auto position = ready_.begin();
-       position != ready_.end() && !budget.IsSpent();) {
-    const ReadyKey first = *position;
-    const TaskName& task = std::get<2>(first);
-    TrackedJob* job = FindJob(task.job);
-    const TrackedStep& step = job->occurrence(task.occurrence).steps[task.step];
+  PlacementPass pass{.now = now,
+                     .starts_left = kMaximumStartsPerStep,
+                     .attempts_left = kMaximumAttemptsPerStep};
+  if (now >= next_resume_) {
+    ready_.Resume();
+    next_resume_ = now + kPlacementRetryInterval;
+    longest_wait_ = Milliseconds(0);
+  }
+  for (auto position = ready_.steps().begin();
+       position != ready_.steps().end() && !pass.IsOver();) {
+    // Placing the last ready task of the step removes its entry.
+    const auto& [key, job] = *position++;
+    const TrackedStep& step = job->step_record(key.occurrence, key.step);
     longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
     // A worker that is not contacted yet may run any task that an earlier
     // leader started.
     const bool blocked =
         !all_contacted &&
         job->origin() == TrackedJob::Origin::kEarlierLeaderEpoch;
-    if (!blocked && now >= step.next_placement) {
-      const auto [pool, added] = eligible.try_emplace(job->job().pool);
+    if (!blocked) {
+      const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
         pool->second = WorkerSelector::FindEligible(workers_, pool->first,
                                                     state.evacuated(), now);
       }
-      PlaceStep(first, pool->second, now, &budget);
+      PlaceStep({key.job, key.occurrence, key.step, 0}, job, pool->second,
+                &pass);
     }
-    ReadyKey last = first;
-    std::get<2>(last).index = std::numeric_limits<int64_t>::max();
-    position = ready_.upper_bound(last);
   }
 }
 
-void Dispatcher::PlaceStep(const ReadyKey& first,
+void Dispatcher::PlaceStep(TaskName task,
+                           TrackedJob* job,
                            const EligibleWorkers& eligible,
-                           MonotonicTime now,
-                           PlacementBudget* budget) {
-  const TaskName& name = std::get<2>(first);
-  TrackedJob* job = FindJob(name.job);
-  TrackedStep& step = job->occurrence(name.occurrence).steps[name.step];
+                           PlacementPass* pass) {
+  const MonotonicTime now = pass->now;
+  TrackedStep& step = job->step_record(task);
   std::optional<WorkerRanking> ranking;
-  // Placing a task removes its key, or those of its gang, from `ready_`.
-  for (auto position = ready_.find(first); position != ready_.end();) {
-    const ReadyKey key = *position;
-    const TaskName& task = std::get<2>(key);
-    if (task.job != name.job || task.occurrence != name.occurrence ||
-        task.step != name.step || budget->IsSpent()) {
+  // Placing a task removes its index, or those of its gang.
+  for (auto index = step.ready_tasks.begin();
+       index != step.ready_tasks.end() && !pass->IsOver();
+       index = step.ready_tasks.upper_bound(task.index)) {
+    task.index = *index;
+    const TrackedTask& tracked_task = step.tasks[task.index];
+    if (tracked_task.phase != TaskPhase::kReady ||
+        now < tracked_task.not_before || IsHeldAfterCrash(job, task, &step)) {
+      continue;
+    }
+    const WorkerSelection selection =
+        job->step(task).gang
+            ? PlaceGang(eligible, job, task, pass)
+            : PlaceTask(eligible, job, task, WaitOf(step, now), &ranking, pass);
+    if (selection.worker == nullptr) {
+      ReportWait(*job, task, selection.rejections, now, &step);
+      ready_.Defer(job, task);
       break;
     }
-    const TrackedTask& tracked_task = step.tasks[task.index];
-    if (tracked_task.phase == TaskPhase::kReady &&
-        now >= tracked_task.not_before && !IsHeldAfterCrash(job, task, &step)) {
-      --budget->attempts;
-      const WorkerSelection selection =
-          job->step(task).gang ? PlaceGang(eligible, job, task, now)
-                               : PlaceTask(eligible, job, task,
-                                           WaitOf(step, now), &ranking, now);
-      if (selection.worker == nullptr) {
-        step.next_placement = now + kPlacementRetryInterval;
-        ReportWait(*job, task, selection.rejections, now, &step);
-        break;
-      }
-      --budget->starts;
-      EndWait(selection.protection, now, &step);
-      if (WorkerSelector::ProtectionAfter(WaitOf(step, now)) !=
-          selection.protection) {
-        ranking.reset();
-      }
+    --pass->starts_left;
+    EndWait(selection.protection, now, &step);
+    if (WorkerSelector::ProtectionAfter(WaitOf(step, now)) !=
+        selection.protection) {
+      ranking.reset();
     }
-    position = ready_.upper_bound(key);
   }
 }
 
@@ -150,7 +146,8 @@
                                       const TaskName& task,
                                       Milliseconds waited,
                                       std::optional<WorkerRanking>* ranking,
-                                      MonotonicTime now) {
+                                      PlacementPass* pass) {
+  const MonotonicTime now = pass->now;
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
   WorkerRequest request{&job->job(),
@@ -163,6 +160,12 @@
                         waited < kMaximumIsolationWait &&
                             job->FailureRecordOf(task).crash_suspected,
                         now};
+  if (!*ranking) {
+    if (const WorkerRejections* rejections = pass->failed.Find(request)) {
+      return {.rejections = *rejections};
+    }
+  }
+  --pass->attempts_left;
   if (step.tightly_coupled && request.preferred_rack.empty()) {
     for (const auto& [id, worker] : workers_) {
       if (worker->CountRunsOfStep(task.job, task.occurrence, task.step) > 0) {
@@ -181,17 +184,21 @@
       StartRun(job, task, NextRunNumber(tracked_task), selection.worker, now);
       // The run may change the place of its worker in the ranking.
       ranking->reset();
+    } else {
+      pass->failed.Add(request, selection.rejections);
     }
     return selection;
   }
   if (!*ranking) {
-    ranking->emplace(&selector_, &eligible, &interference_model_,
-                     std::move(request), &counters_.worker_ratings);
+    ranking->emplace(&selector_, &eligible, &interference_model_, request,
+                     &counters_.worker_ratings);
   }
   const WorkerSelection selection = (*ranking)->Select();
   if (selection.worker != nullptr) {
     StartRun(job, task, NextRunNumber(tracked_task), selection.worker, now);
     (*ranking)->Update();
+  } else {
+    pass->failed.Add(request, selection.rejections);
   }
   return selection;
 }
@@ -199,7 +206,9 @@
 WorkerSelection Dispatcher::PlaceGang(const EligibleWorkers& eligible,
                                       TrackedJob* job,
                                       const TaskName& first,
-                                      MonotonicTime now) {
+                                      PlacementPass* pass) {
+  const MonotonicTime now = pass->now;
+  --pass->attempts_left;
   const JobStep& step = job->step(first);
   // All members must fit at the same time, because members that started alone
   // would wait for the others. Temporary reservations test this.
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -96,6 +96,7 @@
     run->phase = RunPhase::kStopping;
     run->confirmed = now;
     worker->next_renewal = now;
+    due_workers_.push_back(address.id);
     return;
   }
   if (run->orders_sent > 1) {
@@ -144,6 +145,7 @@
     // The worker rejects a start order of this run that arrives later.
     run->confirmed = now;
     worker->next_renewal = now;
+    due_workers_.push_back(address.id);
   } else if (outcome == OrderOutcome::kWrongWorker) {
     RecordCrash(worker);
     RequeueLostRuns(worker, "the worker has ended", now);
@@ -217,8 +219,7 @@
     return;
   }
   finished_runs_.push_back(finished);
-  TrackedStep& tracked_step =
-      job->occurrence(finished.task.occurrence).steps[finished.task.step];
+  TrackedStep& tracked_step = job->step_record(finished.task);
   if (tracked_step.crash_suspect == finished.task.index &&
       finished.outcome != RunOutcome::kInterrupted) {
     tracked_step.crash_suspect.reset();
@@ -236,9 +237,8 @@
   if (done) {
     ++counters_.runs_completed;
     worker->consecutive_failures = 0;
-    ready_.erase(
-        {job->job().priority, job->objective_unix_ms(), finished.task});
-    EnqueueReadyTasks(*job, job->MarkDone(finished.task));
+    ready_.Remove(job, finished.task);
+    EnqueueReadyTasks(job, job->MarkDone(finished.task));
     return;
   }
   if (finished.outcome == RunOutcome::kFailed) {
@@ -252,8 +252,7 @@
     if (!step.long_running && failures >= job->job().maximum_attempts) {
       // QueueState fails the job once the finished run is recorded. Until then
       // the task must not start, even if this run was unknown to this leader.
-      ready_.erase(
-          {job->job().priority, job->objective_unix_ms(), finished.task});
+      ready_.Remove(job, finished.task);
       tracked_task.phase = TaskPhase::kWaiting;
       return;
     }
@@ -268,16 +267,16 @@
                                       const LeaseRenewalResponse& response,
                                       MonotonicTime sent,
                                       MonotonicTime now) {
-  std::set<RunKey> reported_keys;
+  ++worker->list_number;
   for (const ReportedRun& reported : response.running) {
     const RunKey key(reported.task, reported.run);
-    reported_keys.insert(key);
     TrackedRun* run = worker->FindRun(key);
     if (run == nullptr) {
       AdoptRun(worker, reported, now);
       continue;
     }
     run->listed = true;
+    run->list_number = worker->list_number;
     if (run->phase == RunPhase::kStarting) {
       run->phase = RunPhase::kRunning;
       run->order_in_flight = false;
@@ -302,7 +301,7 @@
     // The lease renewal was sent after the worker had confirmed the run or its
     // stop, so the worker would report the run if it were still active.
     if (run.confirmed && *run.confirmed < sent &&
-        !reported_keys.contains(key)) {
+        run.list_number != worker->list_number) {
       missing.push_back(key);
     }
   }
@@ -348,6 +347,7 @@
   run.started = now;
   run.confirmed = now;
   run.listed = true;
+  run.list_number = worker->list_number;
   run.progress_percent = reported.progress_percent;
   run.progress_changed = now;
   run.measurement = reported.measurement;
@@ -362,6 +362,7 @@
   run.job = job->shared_job();
   run.step = &step;
   run.reserved = step.size;
+  job->workers.insert(worker->registration().id);
   TrackedRun& added = worker->AddRun(key, std::move(run));
   const bool startable = tracked_task.phase == TaskPhase::kReady ||
                          tracked_task.phase == TaskPhase::kWaiting;
@@ -369,7 +370,7 @@
     SendStop(worker, key, &added, "the task is active elsewhere or done", now);
     return;
   }
-  ready_.erase({job->job().priority, job->objective_unix_ms(), reported.task});
+  ready_.Remove(job, reported.task);
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = reported.run;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -250,6 +250,7 @@
   for (auto& [key, run] : earlier->runs()) {
     run.phase = RunPhase::kStarting;
     run.listed = false;
+    run.list_number = 0;
     run.started = now;
     SendStop(later, key, &later->AddRun(key, run),
              "the worker was restarted and may have executed the start", now);
@@ -289,7 +290,7 @@
     return;
   }
   tracked_task.not_before = not_before;
-  EnqueueReadyTasks(*job, job->MarkReady(task));
+  EnqueueReadyTasks(job, job->MarkReady(task));
 }
 
 void Dispatcher::RecordFailure(TrackedWorker* worker,
@@ -351,6 +352,7 @@
     TrackedWorker& tracked = *worker->second;
     tracked.acknowledged_through =
         std::max(tracked.acknowledged_through, number);
+    due_workers_.push_back(id);
     tracked.awaiting_durability =
         tracked.acknowledged_through < tracked.received_through;
   }
@@ -372,6 +374,7 @@
       !worker->contacted) {
     outcome = OrderOutcome::kUnknown;
   }
+  due_workers_.push_back(address.id);
   // Two renewals may be in flight after the leases have expired.
   if (sent >= worker->last_renewal_sent) {
     worker->renewal_in_flight = false;
--- a/packages/dispatch/tests/placement_load_test.cc
+++ b/packages/dispatch/tests/placement_load_test.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "packages/dispatch/dispatch.h"
+#include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/fakes/fake_pool.h"
 #include "packages/dispatch/worker_ranking.h"
 
@@ -46,6 +47,19 @@
     }
   }
 
+  // Work that the end of one of `jobs` jobs takes while the tasks of the others
+  // wait: jobs, ready tasks and runs that are looked at.
+  uint64_t VisitsForAnEndedJob(int jobs, int tasks) {
+    Submit(jobs, tasks);
+    (void)dispatcher_.Step(state_, now_, kUnixMs);
+    const Dispatcher::Counters before = dispatcher_.counters();
+    state_.Apply({kUnixMs, CancelQueuedJob{"job-0"}});
+    dispatcher_.Synchronize(state_, now_);
+    const Dispatcher::Counters& after = dispatcher_.counters();
+    return after.job_visits - before.job_visits + after.ready_task_visits -
+           before.ready_task_visits + after.run_visits - before.run_visits;
+  }
+
   void Submit(int jobs, int tasks) {
     for (int job = 0; job < jobs; ++job) {
       SubmitJob command;
@@ -84,6 +98,36 @@
   LONGS_EQUAL(0, StartsOfOneStep());
 }
 
+// Pattern: backlog of tasks on a large fleet. The end of each job looked at all
+// jobs, ready tasks and runs, so each start became dearer the more tasks
+// waited, and a leader at its limit fell behind for good.
+TEST(PlacementLoad, WorkForAnEndedJobDoesNotGrowWithTheBacklog) {
+  const uint64_t visits = VisitsForAnEndedJob(/*jobs=*/10, /*tasks=*/100);
+  CHECK(visits <= 100 + 10);
+}
+
+// The same with 50,000 tasks that wait, which may take no more.
+TEST(PlacementLoad, WorkForAnEndedJobIsTheSameWithManyWaitingTasks) {
+  const uint64_t visits = VisitsForAnEndedJob(/*jobs=*/500, /*tasks=*/100);
+  CHECK(visits <= 100 + 10);
+}
+
+// Pattern: more waiting steps than a full fleet can take. Each of them rated
+// all workers again every 75 ms, which left no time for starts elsewhere.
+TEST(PlacementLoad, WaitingStepsThatNeedAsMuchShareOneFailedRating) {
+  SubmitJob large;
+  large.pool = "pool";
+  large.specification = FakePool::Job(/*tasks=*/50, /*steps=*/1);
+  for (int job = 0; job < 200; ++job) {
+    large.id = absl::StrCat("large-", job);
+    large.specification.steps[0].size.memory_mib = 1'000'000 + job;
+    state_.Apply({kUnixMs, large});
+  }
+  dispatcher_.Synchronize(state_, now_);
+  LONGS_EQUAL(0, StartsOfOneStep());
+  LONGS_EQUAL(kWorkers, dispatcher_.counters().worker_ratings);
+}
+
 // Fails when the tasks of a step that finds no worker use up the starts of a
 // step, so that tasks behind them wait although workers have room.
 TEST(PlacementLoad, StepsThatWaitLeaveTheStartsToOthers) {
@@ -99,6 +143,56 @@
   LONGS_EQUAL(60, StartsOfOneStep());
 }
 
+TEST_GROUP(FailedRequests){};
+
+// Fails when a request is given up because of a failed one although some worker
+// that could not take the failed one could take it.
+TEST(FailedRequests, CoveredRequestsFailOnEveryWorker) {
+  const WorkerSelector selector{WorkerSelector::Options{}};
+  const LatencyInterferenceModel model;
+  const bool holds = rc::check([&] {
+    QueuedJob job;
+    job.pool = "pool";
+    TrackedWorkers workers;
+    EligibleWorkers eligible;
+    for (int number = 0; number < *rc::gen::inRange(1, 6); ++number) {
+      auto worker = std::make_unique<TrackedWorker>(Registration(number));
+      TrackedRun run;
+      run.reserved = {*rc::gen::inRange<int64_t>(0, 16'000),
+                      *rc::gen::inRange<int64_t>(0, 64'000), 0};
+      worker->AddRun({{"other", 0, 0, number}, 1}, run);
+      eligible.workers.push_back(worker.get());
+      workers.emplace(worker->registration().id, std::move(worker));
+    }
+    FailedRequests failed;
+    std::vector<std::shared_ptr<const JobStep>> steps;
+    for (int request_number = 0; request_number < 20; ++request_number) {
+      JobStep step = FakePool::Job(1, 1).steps[0];
+      step.size = {*rc::gen::inRange<int64_t>(0, 20'000),
+                   *rc::gen::inRange<int64_t>(0, 70'000), 0};
+      step.best_effort = *rc::gen::arbitrary<bool>();
+      step.required_label = *rc::gen::element<std::string>("", "a", "b");
+      step.maximum_tasks_per_worker = *rc::gen::inRange<int64_t>(0, 2);
+      step.image = *rc::gen::element<std::string>("x", "y");
+      const auto kept = std::make_shared<const JobStep>(step);
+      steps.push_back(kept);
+      WorkerRequest request;
+      request.job = &job;
+      request.step = kept.get();
+      request.task = {"job", 0, 0, request_number};
+      request.waited = Milliseconds(*rc::gen::inRange(0, 8'000));
+      request.lateness = Milliseconds(*rc::gen::inRange(-2'000, 4'000));
+      const WorkerSelection selection =
+          selector.Select(request, eligible, model);
+      RC_ASSERT(failed.Find(request) == nullptr || selection.worker == nullptr);
+      if (selection.worker == nullptr) {
+        failed.Add(request, selection.rejections);
+      }
+    }
+  });
+  CHECK(holds);
+}
+
 TEST_GROUP(WorkerRanking){};
 
 // Fails when a ranking that is shared by the tasks of a step selects other
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -24,8 +24,8 @@
 
 TrackedJob::TrackedJob(std::shared_ptr<const QueuedJob> job, Origin origin)
     : job_(std::move(job)),
-      payload_(
-          std::make_shared<const JsonText>(job_->specification.payload)),
+      id_(job_->id),
+      payload_(std::make_shared<const JsonText>(job_->specification.payload)),
       origin_(origin) {
   const JobSpecification& specification = job_->specification;
   critical_path_ms_ = CriticalPathFromEachStep(specification);
@@ -128,6 +128,15 @@
   return ready;
 }
 
+std::optional<int64_t> TrackedJob::NextReleaseUnixMs() const {
+  // The occurrences are due one after the other.
+  const auto next = std::find_if(
+      occurrences_.begin(), occurrences_.end(),
+      [](const TrackedOccurrence& occurrence) { return !occurrence.released; });
+  return next == occurrences_.end() ? std::nullopt
+                                    : std::optional(next->due_unix_ms);
+}
+
 std::vector<TaskName> TrackedJob::MarkStepReady(int64_t occurrence,
                                                 int64_t step) {
   std::vector<TaskName> ready;
@@ -135,8 +144,7 @@
   for (size_t index = 0; index < tracked_step.tasks.size(); ++index) {
     if (tracked_step.tasks[index].phase == TaskPhase::kWaiting) {
       tracked_step.tasks[index].phase = TaskPhase::kReady;
-      ready.push_back(
-          {job_->id, occurrence, step, static_cast<int64_t>(index)});
+      ready.push_back({id_, occurrence, step, static_cast<int64_t>(index)});
     }
   }
   return ready;
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -37,8 +37,8 @@
 
 struct TrackedStep {
   std::vector<TrackedTask> tasks;
-  // Earliest time of the next placement, after one that found no worker.
-  MonotonicTime next_placement;
+  // Indexes of the tasks that are ready to start. See ReadySteps.
+  std::set<int64_t> ready_tasks;
   // Since when no task of the step could be placed although one was ready, and
   // how often that was logged.
   std::optional<MonotonicTime> waiting_since;
@@ -66,6 +66,7 @@
 
   const QueuedJob& job() const { return *job_; }
   const std::shared_ptr<const QueuedJob>& shared_job() const { return job_; }
+  const SharedText& shared_id() const { return id_; }
   const std::shared_ptr<const JsonText>& payload() const { return payload_; }
   const JobStep& step(const TaskName& task) const {
     return job_->specification.steps[task.step];
@@ -73,7 +74,12 @@
   Origin origin() const { return origin_; }
   bool HasTask(const TaskName& task) const;
   TrackedTask& task(const TaskName& task);
-  TrackedOccurrence& occurrence(int64_t number) { return occurrences_[number]; }
+  TrackedStep& step_record(int64_t occurrence, int64_t step) {
+    return occurrences_[occurrence].steps[step];
+  }
+  TrackedStep& step_record(const TaskName& task) {
+    return step_record(task.occurrence, task.step);
+  }
   std::vector<TrackedOccurrence>& occurrences() { return occurrences_; }
 
   // The task that holds the failures: the first member for a gang, otherwise
@@ -86,6 +92,8 @@
   // Releases the occurrences that are due and returns the tasks that become
   // ready.
   std::vector<TaskName> Release(int64_t unix_ms);
+  // When the next occurrence is due; nullopt when all are released.
+  std::optional<int64_t> NextReleaseUnixMs() const;
   // Marks the task, or its whole gang, as done. Returns the tasks of later
   // steps that become ready.
   std::vector<TaskName> MarkDone(const TaskName& task);
@@ -100,11 +108,14 @@
   // estimated durations.
   int64_t LatestStartUnixMs(const TaskName& task) const;
   bool started = false;
+  // Ids of the workers that were given, or reported, a run of the job.
+  std::set<std::string> workers;
 
  private:
   std::vector<TaskName> MarkStepReady(int64_t occurrence, int64_t step);
 
   const std::shared_ptr<const QueuedJob> job_;
+  const SharedText id_;  // Shared by the names of the tasks.
   // A copy, because the state discards the payload when the job ends, while
   // start orders may still be on their way to the network.
   const std::shared_ptr<const JsonText> payload_;
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -113,7 +113,7 @@
       sign * run.reserved.processor_millis;
 }
 
-int64_t TrackedWorker::CountRunsOfStep(const std::string& job,
+int64_t TrackedWorker::CountRunsOfStep(const SharedText& job,
                                        int64_t occurrence,
                                        int64_t step) const {
   const TaskName first{job, occurrence, step, 0};
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -45,6 +45,7 @@
   std::optional<MonotonicTime> confirmed;
   // A list of this incarnation of the worker has named the run.
   bool listed = false;
+  uint64_t list_number = 0;  // Of the last list that named the run.
   // Kept for retries of the start order.
   std::shared_ptr<const JsonText> payload;
   std::string checkpoint;  // The run starts from it; empty: none.
@@ -125,7 +126,7 @@
   int64_t best_effort_processor_millis() const {
     return best_effort_processor_millis_;
   }
-  int64_t CountRunsOfStep(const std::string& job,
+  int64_t CountRunsOfStep(const SharedText& job,
                           int64_t occurrence,
                           int64_t step) const;
   // Whether a run started so recently that it may still crash the worker.
@@ -156,6 +157,7 @@
     return contacted || (expiry_check && expiry_check->unanswered);
   }
   int failed_renewals = 0;
+  uint64_t list_number = 0;  // Counts the lists of running runs.
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
   MonotonicTime deregistered_since;
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -21,6 +21,10 @@
          task.index < job.steps[task.step].tasks;
 }
 
+// A leader follows the changes many times a second, and looks at all jobs when
+// it has missed more than these.
+constexpr size_t kMaximumJobChanges = 1'000;
+
 uint64_t NextRevision() {
   static std::atomic<uint64_t> last{0};
   return ++last;
@@ -29,7 +33,9 @@
 }  // namespace
 
 QueueState::QueueState()
-    : workers_revision_(NextRevision()), jobs_revision_(NextRevision()) {}
+    : workers_revision_(NextRevision()),
+      jobs_revision_(NextRevision()),
+      job_changes_since_(jobs_revision_) {}
 
 QueueOutcome QueueState::Apply(const QueueCommand& command) {
   return std::visit(
@@ -37,7 +43,33 @@
       command.body);
 }
 
-const QueuedJob* QueueState::FindJob(const std::string& id) const {
+std::optional<std::vector<std::string>> QueueState::JobsChangedSince(
+    uint64_t revision) const {
+  if (revision < job_changes_since_) {
+    return std::nullopt;
+  }
+  const auto first =
+      std::upper_bound(job_changes_.begin(), job_changes_.end(), revision,
+                       [](uint64_t known, const JobChange& change) {
+                         return known < change.revision;
+                       });
+  std::vector<std::string> changed;
+  for (auto change = first; change != job_changes_.end(); ++change) {
+    changed.push_back(change->job);
+  }
+  return changed;
+}
+
+void QueueState::RecordJobChange(const std::string& id) {
+  jobs_revision_ = NextRevision();
+  job_changes_.push_back({jobs_revision_, id});
+  if (job_changes_.size() > kMaximumJobChanges) {
+    job_changes_since_ = job_changes_.front().revision;
+    job_changes_.pop_front();
+  }
+}
+
+const QueuedJob* QueueState::FindJob(std::string_view id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
 }
@@ -126,7 +158,7 @@
   job->submitted_unix_ms = unix_ms;
   job->unfinished_tasks = TaskCount(command.specification);
   position->second = std::move(job);
-  jobs_revision_ = NextRevision();
+  RecordJobChange(command.id);
   return {.found = true, .changed = true};
 }
 
@@ -217,7 +249,7 @@
   job->ended_unix_ms = unix_ms;
   job->progress.clear();
   job->specification.payload.clear();
-  jobs_revision_ = NextRevision();
+  RecordJobChange(job->id);
 }
 
 QueueOutcome QueueState::Handle(const PurgeJobsEndedBefore& command, int64_t) {
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -3,11 +3,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -70,14 +74,18 @@
   const std::map<std::string, WorkerRegistration>& workers() const {
     return workers_;
   }
-  const std::map<std::string, std::shared_ptr<QueuedJob>>& jobs() const {
-    return jobs_;
-  }
-  const QueuedJob* FindJob(const std::string& id) const;
+  using Jobs = std::map<std::string, std::shared_ptr<QueuedJob>, std::less<>>;
+  const Jobs& jobs() const { return jobs_; }
+  const QueuedJob* FindJob(std::string_view id) const;
   // Change with the registrations of workers, and with the set of open jobs.
   // No two states of a process share a value for different content.
   uint64_t workers_revision() const { return workers_revision_; }
   uint64_t jobs_revision() const { return jobs_revision_; }
+  // Ids of the jobs that were added or have ended since the state had this
+  // revision of its jobs, in the order of the changes. nullopt when the state
+  // no longer knows them: the caller must then look at all jobs.
+  std::optional<std::vector<std::string>> JobsChangedSince(
+      uint64_t revision) const;
   const std::map<int64_t, MaintenanceWave>& waves() const { return waves_; }
   int64_t leader_epoch() const { return leader_epoch_; }
 
@@ -103,16 +111,25 @@
   static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
   static void MarkDone(const TaskName& task, QueuedJob* job);
   void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
+  void RecordJobChange(const std::string& id);
 
   int64_t leader_epoch_ = 0;
   QueueConfiguration configuration_;
   std::set<std::string> evacuated_;
   std::map<std::string, WorkerRegistration> workers_;
   std::map<std::string, DepartedWorker> departed_workers_;  // By id.
-  std::map<std::string, std::shared_ptr<QueuedJob>> jobs_;
+  Jobs jobs_;
   std::map<int64_t, MaintenanceWave> waves_;
   uint64_t workers_revision_;
   uint64_t jobs_revision_;
+  // The latest changes of the set of open jobs, and the revision before the
+  // first of them.
+  struct JobChange {
+    uint64_t revision = 0;
+    std::string job;
+  };
+  std::deque<JobChange> job_changes_;
+  uint64_t job_changes_since_;
 };
 
 }  // namespace bramleyrail
--- a/packages/queue/task_name.cc
+++ b/packages/queue/task_name.cc
@@ -1,29 +1,41 @@
 #include "packages/queue/task_name.h"
 
-#include <vector>
+#include <charconv>
+#include <system_error>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 
 namespace bramleyrail {
 
+namespace {
+
+bool ParseNumber(std::string_view text, int64_t* number) {
+  const char* end = text.data() + text.size();
+  const auto [parsed, error] = std::from_chars(text.data(), end, *number);
+  return error == std::errc() && parsed == end && *number >= 0;
+}
+
+}  // namespace
+
 std::string TaskName::ToString() const {
   return absl::StrCat(job, ".", occurrence, ".", step, ".", index);
 }
 
 std::optional<TaskName> ParseTaskName(std::string_view text) {
-  const std::vector<std::string> parts =
-      absl::StrSplit(absl::string_view(text.data(), text.size()), '.');
   TaskName name;
-  if (parts.size() != 4 || parts[0].empty() ||
-      !absl::SimpleAtoi(parts[1], &name.occurrence) ||
-      !absl::SimpleAtoi(parts[2], &name.step) ||
-      !absl::SimpleAtoi(parts[3], &name.index) || name.occurrence < 0 ||
-      name.step < 0 || name.index < 0) {
+  // A job id has no dots, so the numbers are read from the end.
+  for (int64_t* number : {&name.index, &name.step, &name.occurrence}) {
+    const size_t dot = text.rfind('.');
+    if (dot == std::string_view::npos ||
+        !ParseNumber(text.substr(dot + 1), number)) {
+      return std::nullopt;
+    }
+    text = text.substr(0, dot);
+  }
+  if (text.empty() || text.find('.') != std::string_view::npos) {
     return std::nullopt;
   }
-  name.job = parts[0];
+  name.job = text;
   return name;
 }
 
--- a/packages/queue/task_name.h
+++ b/packages/queue/task_name.h
@@ -7,12 +7,14 @@
 #include <string>
 #include <string_view>
 
+#include "packages/state/state.h"
+
 namespace bramleyrail {
 
 // Identifies a task. Its text is "JOB.OCCURRENCE.STEP.INDEX"; JOB is the id of
 // the job, the other parts are numbers from 0.
 struct TaskName {
-  std::string job;
+  SharedText job;
   int64_t occurrence = 0;
   int64_t step = 0;
   int64_t index = 0;
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -100,6 +100,41 @@
   CHECK(state.jobs_revision() != QueueState().jobs_revision());
 }
 
+// Fails when a leader that follows the changes misses a job that was added or
+// has ended, or takes a state that was restored from a snapshot for the one
+// that it has followed.
+TEST(QueueState, ChangedJobsAreKnownSinceARevision) {
+  using Ids = std::vector<std::string>;
+  QueueState state;
+  const uint64_t start = state.jobs_revision();
+  Apply(&state, Submission("a"));
+  const uint64_t with_a = state.jobs_revision();
+  Apply(&state, Submission("b"));
+  Apply(&state, CancelQueuedJob{"a"});
+  CHECK(state.JobsChangedSince(start) == Ids({"a", "b", "a"}));
+  CHECK(state.JobsChangedSince(with_a) == Ids({"b", "a"}));
+  CHECK(state.JobsChangedSince(state.jobs_revision()) == Ids());
+  const auto restored =
+      QueueState::FromSnapshot(state.EncodeSnapshot()).value();
+  CHECK(!restored->JobsChangedSince(state.jobs_revision()));
+}
+
+// Fails when the changes are kept without a bound, or when changes are missing
+// after the bound was reached.
+TEST(QueueState, ForgottenJobChangesAreReported) {
+  QueueState state;
+  const uint64_t start = state.jobs_revision();
+  uint64_t followed = start;
+  for (int job = 0; job < 3'000; ++job) {
+    Apply(&state, Submission(absl::StrCat("job-", job)));
+    const auto changed = state.JobsChangedSince(followed);
+    CHECK(changed.has_value());
+    LONGS_EQUAL(1, changed->size());
+    followed = state.jobs_revision();
+  }
+  CHECK(!state.JobsChangedSince(start));
+}
+
 // Fails when one failure counts twice because a new leader records a finished
 // run that an earlier leader recorded just before it lost the leadership.
 TEST(QueueState, FailureOfARunCountsOnce) {
--- a/packages/state/shared_text.h
+++ b/packages/state/shared_text.h
@@ -65,8 +65,10 @@
   friend bool operator==(const SharedText& left, const SharedText& right) {
     return left.block_ == right.block_ || left.View() == right.View();
   }
-  friend auto operator<=>(const SharedText& left, const SharedText& right) {
-    return left.View() <=> right.View();
+  friend std::strong_ordering operator<=>(const SharedText& left,
+                                          const SharedText& right) {
+    return left.block_ == right.block_ ? std::strong_ordering::equal
+                                       : left.View() <=> right.View();
   }
   // Templates, because the comparison with a std::string would be ambiguous: it
   // converts to SharedText and SharedText converts to it.
