Control: Step when the responses that have arrived are read

The pause after a step was as long as the step, so that a dear step halved the rate of starts although responses left the processor idle. The next step now waits until a round of the event loop brings few responses, at most 100 ms as before. What the pause was for still holds: responses are read before the leader decides by its clock.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -12,10 +12,13 @@
 // Timers of the dispatcher are at least 50 ms long.
 constexpr Milliseconds kTickInterval{25};
 // Responses that arrive within this time are handled before one common step.
-constexpr std::chrono::nanoseconds kMinimumStepPause{Milliseconds(2)};
-// A pause as long as the step before it leaves half of the processor time to
-// the responses, but never holds up a step by more than this.
-constexpr std::chrono::nanoseconds kMaximumStepPause{Milliseconds(100)};
+constexpr Milliseconds kMinimumStepPause{2};
+// A step waits until the responses that have arrived are read, but not longer
+// than this.
+constexpr Milliseconds kMaximumStepDelay{100};
+// The event loop takes at most 128 ready sockets from the kernel at a time.
+// After half as many responses, more may have arrived.
+constexpr int kResponsesOfFullBatch = 64;
 constexpr Milliseconds kRecordRetryDelay{50};
 constexpr Milliseconds kPurgeInterval{10'000};
 constexpr Milliseconds kLoadReportInterval{1'000};
@@ -70,15 +73,24 @@
   if (std::exchange(step_scheduled_, true)) {
     return;
   }
-  const std::chrono::nanoseconds pause =
-      std::clamp(last_step_duration_, kMinimumStepPause, kMaximumStepPause);
-  loop_->RunAfter(std::chrono::ceil<Milliseconds>(pause),
-                  [this, alive = alive_] {
-                    if (*alive) {
-                      step_scheduled_ = false;
-                      Step();
-                    }
-                  });
+  step_due_ = options_.clock() + kMinimumStepPause;
+  StepAfter(kMinimumStepPause);
+}
+
+void DispatchLoop::StepAfter(Milliseconds delay) {
+  responses_before_step_ = 0;
+  loop_->RunAfter(delay, [this, alive = alive_] {
+    if (!*alive) {
+      return;
+    }
+    const bool more_responses = responses_before_step_ >= kResponsesOfFullBatch;
+    if (more_responses && options_.clock() - step_due_ < kMaximumStepDelay) {
+      StepAfter(Milliseconds(0));
+      return;
+    }
+    step_scheduled_ = false;
+    Step();
+  });
 }
 
 void DispatchLoop::Step() {
@@ -110,7 +122,6 @@
   load_.AddStep({.synchronize = synchronized - now,
                  .decide = decided - synchronized,
                  .send = sent - decided});
-  last_step_duration_ = sent - now;
 }
 
 void DispatchLoop::ReportLoad(MonotonicTime now) {
@@ -224,6 +235,7 @@
     }
   });
   load_.AddResponse(options_.clock() - now);
+  ++responses_before_step_;
   ScheduleStep();
 }
 
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -23,10 +23,11 @@
 // Sends an order with the leader epoch as its fencing token. `may_send` is
 // asked just before the order is written. The callback runs once, on the thread
 // of the loop, and not inside the call.
-using WorkerCaller = std::function<void(std::shared_ptr<const WorkerOrder> order,
-                                        int64_t fence,
-                                        std::function<bool()> may_send,
-                                        std::function<void(OrderResponse)>)>;
+using WorkerCaller =
+    std::function<void(std::shared_ptr<const WorkerOrder> order,
+                       int64_t fence,
+                       std::function<bool()> may_send,
+                       std::function<void(OrderResponse)>)>;
 
 // Runs a Dispatcher while this instance leads: passes it the state and the
 // responses of workers, sends its orders, and makes the outcomes of finished
@@ -66,6 +67,7 @@
  private:
   void Tick();
   void ScheduleStep();
+  void StepAfter(Milliseconds delay);
   void Step();
   void FollowLeadership();
   void TakeOver();
@@ -92,7 +94,9 @@
   std::atomic<bool> wake_posted_ = false;
   MonotonicTime last_purge_;
   MonotonicTime next_tick_;
-  std::chrono::nanoseconds last_step_duration_{0};
+  MonotonicTime step_due_;
+  // Since the timer of the next step was set.
+  int responses_before_step_ = 0;
   MonotonicTime last_report_;
   DispatchLoad load_;
 };
