Dispatch: Start jobs that can end in time first, and finish begun ones

The earliest objective went first. While the fleet or its leader lacked room, each job therefore started when its objective was nearly over, and all were late for as long as the backlog lasted. Later occurrences of a job also went by the objective of the first one.

A job that has not started goes behind those that can still end in time, once its latest start has passed by the estimates. One that has started keeps its place, since its work is of use only when it ends, until it has taken three times as long as its objective allows.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -180,7 +180,7 @@
                          {"queue", tracked->job().queue},
                          {"steps", tracked->job().specification.steps.size()},
                          {"priority", tracked->job().priority},
-                         {"objective_unix_ms", tracked->objective_unix_ms()},
+                         {"objective_unix_ms", tracked->ObjectiveUnixMs(0)},
                          {"new", synchronized_}});
   releases_.emplace(*tracked->NextReleaseUnixMs(), id);
   jobs_.emplace(id, std::move(tracked));
@@ -221,7 +221,7 @@
 void Dispatcher::EnqueueReadyTasks(TrackedJob* job,
                                    const std::vector<TaskName>& tasks) {
   for (const TaskName& task : tasks) {
-    ready_.Add(job, task);
+    ready_.Add(job, task, unix_ms_);
   }
 }
 
@@ -305,6 +305,7 @@
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
   ready_.Remove(job, task);
+  job->occurrences()[task.occurrence].started = true;
   job->workers.insert(worker->registration().id);
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = worker->registration().id;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -38,7 +38,7 @@
                      .starts_left = kMaximumStartsPerStep,
                      .attempts_left = kMaximumAttemptsPerStep};
   if (now >= next_resume_) {
-    ready_.Resume();
+    ready_.Resume(unix_ms_);
     next_resume_ = now + kPlacementRetryInterval;
     longest_wait_ = Milliseconds(0);
   }
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -234,6 +234,7 @@
     }
   }
   job->started = true;
+  job->occurrences()[finished.task.occurrence].started = true;
   if (done) {
     ++counters_.runs_completed;
     worker->consecutive_failures = 0;
@@ -371,6 +372,7 @@
     return;
   }
   ready_.Remove(job, reported.task);
+  job->occurrences()[reported.task.occurrence].started = true;
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = reported.run;
--- a/packages/dispatch/ready_steps.cc
+++ b/packages/dispatch/ready_steps.cc
@@ -1,18 +1,25 @@
 #include "packages/dispatch/ready_steps.h"
 
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace bramleyrail {
 
-ReadySteps::Key ReadySteps::KeyOf(const TrackedJob& job, const TaskName& task) {
-  return {job.job().priority, job.objective_unix_ms(), task.job,
-          task.occurrence, task.step};
+ReadySteps::Key ReadySteps::KeyOf(TrackedJob* job, const TaskName& task) {
+  return {job->job().priority,
+          job->step_record(task).lateness,
+          job->ObjectiveUnixMs(task.occurrence),
+          task.job,
+          task.occurrence,
+          task.step};
 }
 
-void ReadySteps::Add(TrackedJob* job, const TaskName& task) {
+void ReadySteps::Add(TrackedJob* job, const TaskName& task, int64_t unix_ms) {
   TrackedStep& step = job->step_record(task);
   if (step.ready_tasks.empty()) {
-    steps_.emplace(KeyOf(*job, task), job);
+    step.lateness = job->LatenessOf(task, unix_ms);
+    steps_.emplace(KeyOf(job, task), job);
   }
   task_count_ += step.ready_tasks.insert(task.index).second ? 1 : 0;
 }
@@ -29,7 +36,7 @@
 }
 
 void ReadySteps::RemoveStep(TrackedJob* job, const TaskName& task) {
-  const Key key = KeyOf(*job, task);
+  const Key key = KeyOf(job, task);
   if (steps_.erase(key) == 0) {
     deferred_.erase(key);
   }
@@ -55,7 +62,27 @@
 }
 
 void ReadySteps::Defer(TrackedJob* job, const TaskName& task) {
-  deferred_.insert(steps_.extract(KeyOf(*job, task)));
+  deferred_.insert(steps_.extract(KeyOf(job, task)));
+}
+
+void ReadySteps::Resume(int64_t unix_ms) {
+  steps_.merge(deferred_);
+  std::vector<Map::iterator> changed;
+  for (auto position = steps_.begin(); position != steps_.end(); ++position) {
+    const auto& [key, job] = *position;
+    if (job->LatenessOf({key.job, key.occurrence, key.step, 0}, unix_ms) !=
+        key.lateness) {
+      changed.push_back(position);
+    }
+  }
+  for (const Map::iterator& position : changed) {
+    auto node = steps_.extract(position);
+    Key& key = node.key();
+    const TaskName task{key.job, key.occurrence, key.step, 0};
+    key.lateness = node.mapped()->LatenessOf(task, unix_ms);
+    node.mapped()->step_record(task).lateness = key.lateness;
+    steps_.insert(std::move(node));
+  }
 }
 
 }  // namespace bramleyrail
--- a/packages/dispatch/ready_steps.h
+++ b/packages/dispatch/ready_steps.h
@@ -17,7 +17,8 @@
  public:
   struct Key {
     int64_t priority = 0;
-    int64_t objective_unix_ms = 0;  // Of the job.
+    Lateness lateness = Lateness::kOnTime;
+    int64_t objective_unix_ms = 0;  // Of the occurrence.
     SharedText job;
     int64_t occurrence = 0;
     int64_t step = 0;
@@ -28,7 +29,7 @@
   using Map = std::map<Key, TrackedJob*>;
 
   // The job outlives its entries.
-  void Add(TrackedJob* job, const TaskName& task);
+  void Add(TrackedJob* job, const TaskName& task, int64_t unix_ms);
   // Does nothing when the task is not ready.
   void Remove(TrackedJob* job, const TaskName& task);
   // Returns the number of entries that it looked at.
@@ -36,15 +37,15 @@
 
   // Takes the step out of steps() until the next call of Resume().
   void Defer(TrackedJob* job, const TaskName& task);
-  // Adds the deferred steps to steps() again.
-  void Resume() { steps_.merge(deferred_); }
+  // Adds the deferred steps to steps() again and updates how late each is.
+  void Resume(int64_t unix_ms);
 
   // Without the deferred ones.
   const Map& steps() const { return steps_; }
   size_t task_count() const { return task_count_; }
 
  private:
-  static Key KeyOf(const TrackedJob& job, const TaskName& task);
+  static Key KeyOf(TrackedJob* job, const TaskName& task);
   void RemoveStep(TrackedJob* job, const TaskName& task);
 
   Map steps_;
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// A job that takes this many times as long as its objective allows is of no use
+// to its submitter any more.
+constexpr int64_t kExpiryFactor = 3;
+
 // Returns, for each step, the estimated duration of the longest chain of steps
 // that starts with it.
 std::vector<int64_t> CriticalPathFromEachStep(const JobSpecification& job) {
@@ -33,11 +37,11 @@
                                  ? 0
                                  : *std::max_element(critical_path_ms_.begin(),
                                                      critical_path_ms_.end());
-  objective_unix_ms_ =
-      std::max(job_->submitted_unix_ms, specification.first_start_unix_ms) +
-      job_->target_latency_ms +
-      static_cast<int64_t>(job_->stretch_factor *
-                           static_cast<double>(longest_ms));
+  start_unix_ms_ =
+      std::max(job_->submitted_unix_ms, specification.first_start_unix_ms);
+  objective_ms_ = job_->target_latency_ms +
+                  static_cast<int64_t>(job_->stretch_factor *
+                                       static_cast<double>(longest_ms));
   for (int64_t number = 0; number < specification.OccurrenceCount(); ++number) {
     TrackedOccurrence& occurrence = occurrences_.emplace_back();
     if (specification.repetitions > 0) {
@@ -64,6 +68,7 @@
       SuspectOfCrashes(name);
     }
     started = true;
+    occurrences_[name.occurrence].started = true;
   }
   for (const auto& [name, progress] : job_->progress) {
     if (progress.done && task(name).phase != TaskPhase::kDone) {
@@ -74,9 +79,20 @@
 }
 
 int64_t TrackedJob::LatestStartUnixMs(const TaskName& name) const {
-  const JobSpecification& specification = job_->specification;
-  return objective_unix_ms_ + name.occurrence * specification.interval_ms -
-         critical_path_ms_[name.step];
+  return ObjectiveUnixMs(name.occurrence) - critical_path_ms_[name.step];
+}
+
+Lateness TrackedJob::LatenessOf(const TaskName& name, int64_t unix_ms) const {
+  const int64_t expiry_unix_ms =
+      ObjectiveUnixMs(name.occurrence) + (kExpiryFactor - 1) * objective_ms_;
+  // A long-running task is of use whenever it runs.
+  if (unix_ms > expiry_unix_ms && !step(name).long_running) {
+    return Lateness::kExpired;
+  }
+  // The work that is done for a job is of use only when the job ends.
+  const bool has_started = occurrences_[name.occurrence].started;
+  return has_started || unix_ms <= LatestStartUnixMs(name) ? Lateness::kOnTime
+                                                           : Lateness::kLate;
 }
 
 bool TrackedJob::HasTask(const TaskName& name) const {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -12,6 +12,13 @@
 
 namespace bramleyrail {
 
+// Whether a job that has tasks to start can still end when it is needed.
+enum class Lateness {
+  kOnTime,   // Or some of its tasks have started.
+  kLate,     // It would miss its objective, by the estimates.
+  kExpired,  // It has taken several times as long as its objective allows.
+};
+
 enum class TaskPhase { kWaiting, kReady, kActive, kDone };
 
 struct TrackedTask {
@@ -39,6 +46,7 @@
   std::vector<TrackedTask> tasks;
   // Indexes of the tasks that are ready to start. See ReadySteps.
   std::set<int64_t> ready_tasks;
+  Lateness lateness = Lateness::kOnTime;  // When last looked at by ReadySteps.
   // Since when no task of the step could be placed although one was ready, and
   // how often that was logged.
   std::optional<MonotonicTime> waiting_since;
@@ -53,6 +61,7 @@
 struct TrackedOccurrence {
   int64_t due_unix_ms = 0;  // 0: immediately.
   bool released = false;    // The due time has passed.
+  bool started = false;     // A task has started.
   std::vector<TrackedStep> steps;
 };
 
@@ -102,8 +111,13 @@
   // none.
   std::vector<TaskName> MarkReady(const TaskName& task);
 
-  // Unix time by which the job has to end to meet its objective.
-  int64_t objective_unix_ms() const { return objective_unix_ms_; }
+  // Unix time by which the occurrence has to end to meet the objective of the
+  // job.
+  int64_t ObjectiveUnixMs(int64_t occurrence) const {
+    return start_unix_ms_ + objective_ms_ +
+           occurrence * job_->specification.interval_ms;
+  }
+  Lateness LatenessOf(const TaskName& task, int64_t unix_ms) const;
   // The latest start of the task that still meets the objective, by the
   // estimated durations.
   int64_t LatestStartUnixMs(const TaskName& task) const;
@@ -123,7 +137,8 @@
   std::vector<TrackedOccurrence> occurrences_;
   // Estimated duration of the longest chain of steps from each step on.
   std::vector<int64_t> critical_path_ms_;
-  int64_t objective_unix_ms_ = 0;
+  int64_t start_unix_ms_ = 0;  // Of the first occurrence.
+  int64_t objective_ms_ = 0;   // Time that each occurrence may take.
 };
 
 }  // namespace bramleyrail
