Http: Replace no connection for a second one to the same address

With all connections open, each further order to a worker closed the idle connection of another worker and opened one of its own, which costs the leader's processor and two round trips each.

A call to an address that has a connection in use now waits for it when all connections are open, which takes no longer than opening another one. An address without a connection still takes the place of an idle one.

HttpConnectionPool.FullPoolReplacesNoConnectionForASecondOne guards against it.

--- a/packages/http/http_connection_pool.cc
+++ b/packages/http/http_connection_pool.cc
@@ -18,8 +18,11 @@
     return Grant{number, false};
   }
   const bool full = connections_.size() >= options_.maximum_connections;
+  // A further connection takes a round trip to open, and so does a call that is
+  // in progress. It is not worth the connection of another address.
+  const bool may_replace = !idle_by_age_.empty() && entry.connections == 0;
   if (entry.connections >= options_.maximum_connections_per_address ||
-      (full && idle_by_age_.empty())) {
+      (full && !may_replace)) {
     if (entry.connections == 0) {
       addresses_.erase(address);
     }
--- a/packages/http/http_connection_pool.h
+++ b/packages/http/http_connection_pool.h
@@ -36,6 +36,8 @@
 
   // Returns a connection for one call, or nullopt when the limits allow none
   // until another call ends. Prefers the most recently used idle connection.
+  // When all connections are open, the first one to an address takes the place
+  // of an idle one to another address.
   std::optional<Grant> Acquire(const std::string& address, MonotonicTime now);
   // Ends the use of a connection, and removes it when it is not reusable.
   void Release(Number connection, bool reusable, MonotonicTime now);
@@ -44,7 +46,7 @@
   // Connections that were removed since the last call. The owner closes them.
   std::vector<Number> TakeRemoved() { return std::exchange(removed_, {}); }
 
-  // Whether an address below its own limit would get a connection.
+  // Whether an address without a connection would get one.
   bool HasRoom() const {
     return size() < options_.maximum_connections || idle() > 0;
   }
--- a/packages/http/tests/http_connection_pool_test.cc
+++ b/packages/http/tests/http_connection_pool_test.cc
@@ -66,6 +66,20 @@
   LONGS_EQUAL(2, pool.size());
 }
 
+// Pattern: bursts of orders to a fleet about as large as the limit. A second
+// order to a worker took the idle connection of another one, so that most
+// orders had to open a connection, and the fuller the leader was the more.
+TEST(HttpConnectionPool, FullPoolReplacesNoConnectionForASecondOne) {
+  HttpConnectionPool pool({.maximum_connections = 2});
+  const auto first = pool.Acquire("a", now_);
+  pool.Release(pool.Acquire("b", now_)->connection, true, now_);
+  CHECK(!pool.Acquire("a", now_).has_value());
+  CHECK(pool.TakeRemoved().empty());
+  pool.Release(first->connection, true, now_);
+  CHECK(!pool.Acquire("a", now_)->is_new);
+  CHECK(!pool.Acquire("b", now_)->is_new);
+}
+
 // Guards against connections that stay open after their worker has left.
 TEST(HttpConnectionPool, IdleConnectionsOfAnyAddressExpire) {
   HttpConnectionPool pool({.idle_timeout = Milliseconds(1'000)});
