--- a/packages/control/tests/registration_check_test.cc
+++ b/packages/control/tests/registration_check_test.cc
@@ -6,8 +6,6 @@
 namespace bramleyrail {
 namespace {
 
-const std::set<std::string> kFailureDomains = {"east", "west"};
-
 WorkerRegistration Registration(std::string id,
                                 std::string pool,
                                 std::string failure_domain) {
@@ -31,7 +29,7 @@
   }
 
   RegistrationCheck Check(const WorkerRegistration& registration) {
-    return CheckRegistration(state_, registration, kFailureDomains);
+    return CheckRegistration(state_, registration, {"east", "west"});
   }
 };
 
