Dispatch: Start suspected tasks on different workers

A worker now gets no second suspected task for as long as a crash would be attributed to the first, so that the next crash counts against one suspect only. WorkerCrash.SuspectedTasksDoNotStartTogether guards against it.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -313,6 +313,9 @@
   TrackedRun tracked;
   tracked.started = now;
   const TrackedTask& record = job->FailureRecordOf(task);
+  if (record.crash_suspected) {
+    worker->suspect_until = now + kCrashAttributionTime;
+  }
   // Beside a recent run, a crash could not be attributed anyway.
   if (record.crash_suspected && !worker->HasRecentRun(now)) {
     tracked.isolated = true;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -150,6 +150,7 @@
   const MonotonicTime now = pass->now;
   const JobStep& step = job->step(task);
   TrackedTask& tracked_task = job->task(task);
+  const bool suspected = job->FailureRecordOf(task).crash_suspected;
   WorkerRequest request{&job->job(),
                         &step,
                         task,
@@ -157,8 +158,8 @@
                         step.data_rack,
                         Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
                         waited,
-                        waited < kMaximumIsolationWait &&
-                            job->FailureRecordOf(task).crash_suspected,
+                        suspected,
+                        suspected && waited < kMaximumIsolationWait,
                         now};
   if (!*ranking) {
     if (const WorkerRejections* rejections = pass->failed.Find(request)) {
@@ -175,7 +176,8 @@
   }
   // Preferences of its own make the ranking of the step wrong for a task.
   const bool shares_ranking = !step.tightly_coupled &&
-                              request.avoid_worker.empty() && !request.isolated;
+                              request.avoid_worker.empty() &&
+                              !request.suspected;
   if (!shares_ranking) {
     counters_.worker_ratings += eligible.workers.size();
     const WorkerSelection selection =
--- a/packages/dispatch/failed_requests.cc
+++ b/packages/dispatch/failed_requests.cc
@@ -7,7 +7,7 @@
 void FailedRequests::Add(const WorkerRequest& request,
                          const WorkerRejections& rejections) {
   // These limits depend on the runs of the step, and of the task.
-  if (request.isolated || request.step->maximum_tasks_per_worker > 0) {
+  if (request.suspected || request.step->maximum_tasks_per_worker > 0) {
     return;
   }
   entries_.push_back({&request.job->pool, request.step,
--- a/packages/dispatch/tests/worker_crash_test.cc
+++ b/packages/dispatch/tests/worker_crash_test.cc
@@ -130,6 +130,30 @@
   CheckNoViolation(pool);
 }
 
+// Pattern: no worker without a recent run was free for a second. All tasks that
+// a crash had put under suspicion then started on the same worker, crashed
+// again together, and jobs that had caused no crash were given up.
+TEST(WorkerCrash, SuspectedTasksDoNotStartTogether) {
+  const WorkerSelector selector{WorkerSelector::Options{}};
+  const MonotonicTime now{std::chrono::hours(1)};
+  QueuedJob job;
+  const JobStep step = FakePool::Job(1, 1).steps[0];
+  WorkerRegistration registration;
+  registration.capacity = {8'000, 64'000, 0};
+  TrackedWorker worker(registration);
+  worker.suspect_until = now + Milliseconds(1);
+  const EligibleWorkers eligible{.workers = {&worker}};
+  WorkerRequest request;
+  request.job = &job;
+  request.step = &step;
+  request.now = now;
+  CHECK(selector.Select(request, eligible, {}).worker == &worker);
+  request.suspected = true;
+  CHECK(selector.Select(request, eligible, {}).worker == nullptr);
+  request.now = worker.suspect_until;
+  CHECK(selector.Select(request, eligible, {}).worker == &worker);
+}
+
 // Fails when each task of a wide step crashes one worker after another, instead
 // of one task of them.
 TEST(WorkerCrash, StepThatCrashesWorkersStartsOneTaskAtATime) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -174,6 +174,9 @@
   int consecutive_failures = 0;
   // The worker gets no new runs beside one that may crash it.
   MonotonicTime isolated_until;
+  // The worker gets no further task under which a worker has crashed: a crash
+  // would count against both again.
+  MonotonicTime suspect_until;
   // Crashes that count if this incarnation turns out to have ended: of runs
   // that were lost since the last response.
   std::vector<PossibleCrash> possible_crashes;
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -222,7 +222,8 @@
     ++rejections->ineligible;
     return std::nullopt;
   }
-  if (request.isolated && worker->HasRecentRun(request.now)) {
+  if ((request.suspected && request.now < worker->suspect_until) ||
+      (request.isolated && worker->HasRecentRun(request.now))) {
     ++rejections->not_isolated;
     return std::nullopt;
   }
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -30,6 +30,8 @@
   Milliseconds lateness{0};
   // Time for which no worker was found for the step.
   Milliseconds waited{0};
+  // A worker has crashed under the task.
+  bool suspected = false;
   // The worker may have no run that could be taken for the cause of a crash.
   bool isolated = false;
   MonotonicTime now;
@@ -37,8 +39,9 @@
 
 // How many workers could not run a task, by the first reason that was found.
 struct WorkerRejections {
-  int64_t ineligible = 0;        // See IsEligible().
-  int64_t not_isolated = 0;      // See WorkerRequest::isolated.
+  int64_t ineligible = 0;  // See IsEligible().
+  // See WorkerRequest::isolated, and TrackedWorker::suspect_until.
+  int64_t not_isolated = 0;
   int64_t no_capacity = 0;       // Memory, accelerators or reserved processors.
   int64_t best_effort_full = 0;  // Best-effort runs request all that is unused.
   int64_t label_missing = 0;
