Queue: Record which worker may have each run

A new leader does not know on which workers its predecessor's runs are, so it holds every task of every earlier job until each registered worker has answered.

The state now keeps, for each task, the last run that a leader has recorded with RecordPlacements, and the incarnation of the worker that is ordered to start it, until the end of the run is recorded or the job ends. A leader whose epoch has passed cannot record. Damaged records are refused. Nothing writes the records yet.

--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -10,6 +10,8 @@
 #include "packages/queue/queue_command.h"
 #include "packages/queue/queue_configuration.h"
 #include "packages/queue/queue_state.h"
+#include "packages/queue/recorded_runs.h"
+#include "packages/queue/run_placement.h"
 #include "packages/queue/task_name.h"
 #include "packages/queue/worker_registration.h"
 
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -48,6 +48,11 @@
   for (const auto& [id, departed] : departed_workers_) {
     snapshot.departed_workers.push_back(departed);
   }
+  snapshot.leader_records_placements = leader_records_placements_;
+  snapshot.longest_lease_ms = longest_lease_ms_;
+  snapshot.jobs_with_unknown_runs.assign(jobs_with_unknown_runs_.begin(),
+                                         jobs_with_unknown_runs_.end());
+  snapshot.recorded_runs = MakePlacementList(recorded_runs_.List());
   return codec::Encode(snapshot);
 }
 
@@ -80,6 +85,17 @@
   for (DepartedWorker& departed : snapshot.departed_workers) {
     state->departed_workers_[departed.id] = std::move(departed);
   }
+  state->leader_records_placements_ = snapshot.leader_records_placements;
+  state->longest_lease_ms_ = snapshot.longest_lease_ms;
+  state->jobs_with_unknown_runs_.insert(snapshot.jobs_with_unknown_runs.begin(),
+                                        snapshot.jobs_with_unknown_runs.end());
+  const auto recorded_runs = PlacementsOf(snapshot.recorded_runs);
+  if (!recorded_runs) {
+    return codec::DamagedError("the recorded runs of the queue snapshot");
+  }
+  for (const RunPlacement& placement : *recorded_runs) {
+    state->recorded_runs_.Record(placement);
+  }
   return state;
 }
 
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -40,6 +40,11 @@
   std::vector<JobRecord> jobs;
   std::vector<MaintenanceWave> waves;
   std::vector<DepartedWorker> departed_workers;
+  // Missing in a snapshot of a version that records no placements.
+  bool leader_records_placements = false;
+  int64_t longest_lease_ms = 0;
+  std::vector<std::string> jobs_with_unknown_runs;
+  PlacementList recorded_runs;
 };
 
 auto Fields(codec::Is<JobStep> auto& v) {
@@ -86,7 +91,7 @@
                   v.finished_machines);
 }
 auto Fields(codec::Is<BeginLeadership> auto& v) {
-  return std::tie(v.instance);
+  return std::tie(v.instance, v.records_placements, v.longest_lease_ms);
 }
 auto Fields(codec::Is<ReplaceConfiguration> auto& v) {
   return std::tie(v.configuration);
@@ -113,6 +118,18 @@
 auto Fields(codec::Is<RecordFinishedRuns> auto& v) {
   return std::tie(v.finished_runs);
 }
+auto Fields(codec::Is<WorkerIncarnation> auto& v) {
+  return std::tie(v.id, v.started_unix_ms);
+}
+auto Fields(codec::Is<StepPlacements> auto& v) {
+  return std::tie(v.job, v.occurrence, v.step, v.indexes, v.runs, v.workers);
+}
+auto Fields(codec::Is<PlacementList> auto& v) {
+  return std::tie(v.workers, v.steps);
+}
+auto Fields(codec::Is<RecordPlacements> auto& v) {
+  return std::tie(v.leader_epoch, v.placements);
+}
 auto Fields(codec::Is<PurgeJobsEndedBefore> auto& v) {
   return std::tie(v.unix_ms);
 }
@@ -149,7 +166,9 @@
 }
 auto Fields(codec::Is<QueueSnapshot> auto& v) {
   return std::tie(v.version, v.leader_epoch, v.configuration, v.evacuated,
-                  v.workers, v.jobs, v.waves, v.departed_workers);
+                  v.workers, v.jobs, v.waves, v.departed_workers,
+                  v.leader_records_placements, v.longest_lease_ms,
+                  v.jobs_with_unknown_runs, v.recorded_runs);
 }
 
 }  // namespace bramleyrail
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -11,6 +11,7 @@
 #include "packages/queue/job_specification.h"
 #include "packages/queue/maintenance_wave.h"
 #include "packages/queue/queue_configuration.h"
+#include "packages/queue/run_placement.h"
 #include "packages/queue/task_name.h"
 #include "packages/queue/worker_registration.h"
 
@@ -19,6 +20,10 @@
 // The first command of a leader. Its outcome carries the new leader epoch.
 struct BeginLeadership {
   std::string instance;
+  // The leader records each start with RecordPlacements before it orders it.
+  bool records_placements = false;
+  // The longest lease that the leader grants; 0: unknown.
+  int64_t longest_lease_ms = 0;
 };
 
 // Takes effect when the version is higher than the current one.
@@ -81,6 +86,13 @@
   std::vector<FinishedRun> finished_runs;
 };
 
+// Runs that the leader is about to start, and runs that are known to have ended
+// without a report. Has no effect once a later leader has begun.
+struct RecordPlacements {
+  int64_t leader_epoch = 0;
+  PlacementList placements;
+};
+
 // Deletes jobs that ended before the time.
 struct PurgeJobsEndedBefore {
   int64_t unix_ms = 0;
@@ -112,7 +124,8 @@
                                       PurgeJobsEndedBefore,
                                       StartWave,
                                       FinishMachineMaintenance,
-                                      ReadBarrier>;
+                                      ReadBarrier,
+                                      RecordPlacements>;
 
 struct QueueCommand {
   int64_t proposed_unix_ms = 0;
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -74,10 +74,43 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-QueueOutcome QueueState::Handle(const BeginLeadership&, int64_t) {
+std::optional<int64_t> QueueState::longest_lease_ms() const {
+  return longest_lease_ms_ == 0 ? std::nullopt
+                                : std::optional(longest_lease_ms_);
+}
+
+QueueOutcome QueueState::Handle(const BeginLeadership& command, int64_t) {
+  const bool first = leader_epoch_ == 0;
+  if (!first && !leader_records_placements_) {
+    for (const auto& [id, job] : jobs_) {
+      if (job->outcome == JobOutcome::kOpen) {
+        jobs_with_unknown_runs_.insert(id);
+      }
+    }
+  }
+  leader_records_placements_ = command.records_placements;
+  const bool lease_known =
+      command.longest_lease_ms > 0 && (first || longest_lease_ms_ > 0);
+  longest_lease_ms_ =
+      lease_known ? std::max(longest_lease_ms_, command.longest_lease_ms) : 0;
   return {.found = true, .changed = true, .leader_epoch = ++leader_epoch_};
 }
 
+QueueOutcome QueueState::Handle(const RecordPlacements& command, int64_t) {
+  const auto placements = PlacementsOf(command.placements);
+  if (command.leader_epoch != leader_epoch_ || !placements) {
+    return {};
+  }
+  for (const RunPlacement& placement : *placements) {
+    const QueuedJob* job = FindJob(placement.task.job);
+    if (job != nullptr && job->outcome == JobOutcome::kOpen &&
+        HasTask(job->specification, placement.task)) {
+      recorded_runs_.Record(placement);
+    }
+  }
+  return {.found = true, .changed = !placements->empty()};
+}
+
 QueueOutcome QueueState::Handle(const ReplaceConfiguration& command, int64_t) {
   if (command.configuration.version <= configuration_.version) {
     return {.found = true};
@@ -194,6 +227,12 @@
   if (finished.outcome == RunOutcome::kDone && !step.long_running) {
     MarkDone(finished.task, job);
   }
+  // The runs of a worker that has crashed count until their leases have
+  // expired.
+  if (finished.outcome != RunOutcome::kCrashSuspected &&
+      finished.outcome != RunOutcome::kCrashAttributed) {
+    recorded_runs_.Erase(finished.task, finished.run);
+  }
   TaskName failure_holder = finished.task;
   failure_holder.index = step.gang ? 0 : failure_holder.index;
   TaskProgress& progress = job->progress[failure_holder];
@@ -242,6 +281,9 @@
     job->unfinished_tasks -= progress.done ? 0 : 1;
     progress.done = true;
   }
+  if (step.gang) {
+    recorded_runs_.EraseStep(task);
+  }
 }
 
 void QueueState::EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms) {
@@ -249,6 +291,8 @@
   job->ended_unix_ms = unix_ms;
   job->progress.clear();
   job->specification.payload.clear();
+  recorded_runs_.EraseJob(job->id);
+  jobs_with_unknown_runs_.erase(job->id);
   RecordJobChange(job->id);
 }
 
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -17,6 +17,7 @@
 
 #include "packages/queue/crash_limit.h"
 #include "packages/queue/queue_command.h"
+#include "packages/queue/recorded_runs.h"
 
 namespace bramleyrail {
 
@@ -88,6 +89,14 @@
       uint64_t revision) const;
   const std::map<int64_t, MaintenanceWave>& waves() const { return waves_; }
   int64_t leader_epoch() const { return leader_epoch_; }
+  // The longest lease that any leader up to now may have granted. nullopt when
+  // one of them did not state it.
+  std::optional<int64_t> longest_lease_ms() const;
+  const RecordedRuns& recorded_runs() const { return recorded_runs_; }
+  // Whether a leader may have started tasks of the open job without a record.
+  bool HasUnknownRuns(std::string_view job) const {
+    return jobs_with_unknown_runs_.contains(job);
+  }
 
   std::vector<std::byte> EncodeSnapshot() const;
   // Returns kDataLoss when the bytes are not a snapshot of this version.
@@ -107,13 +116,18 @@
   QueueOutcome Handle(const StartWave& command, int64_t unix_ms);
   QueueOutcome Handle(const FinishMachineMaintenance& command, int64_t unix_ms);
   QueueOutcome Handle(const ReadBarrier& command, int64_t unix_ms);
+  QueueOutcome Handle(const RecordPlacements& command, int64_t unix_ms);
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
   static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
-  static void MarkDone(const TaskName& task, QueuedJob* job);
+  void MarkDone(const TaskName& task, QueuedJob* job);
   void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
   void RecordJobChange(const std::string& id);
 
   int64_t leader_epoch_ = 0;
+  bool leader_records_placements_ = false;
+  int64_t longest_lease_ms_ = 0;  // See BeginLeadership; 0: unknown.
+  RecordedRuns recorded_runs_;
+  std::set<std::string, std::less<>> jobs_with_unknown_runs_;
   QueueConfiguration configuration_;
   std::set<std::string> evacuated_;
   std::map<std::string, WorkerRegistration> workers_;
