Dispatch, Control: Hold only the tasks that may run on a silent worker

Cause: a leader kept its placements in memory only, so its successor had to take every silent worker for one that may run any task.

A start order is now sent once its placement is durable in the log. A new leader gives each worker the recorded runs that it may have: a list of the worker confirms them, ends them or shows that they are gone, and those of a worker that stays silent are lost when the leases of the predecessors have ended. Every other task starts at once. A run that was lost is recorded as ended, so a worker that is gone holds tasks once and not at each takeover. The wait is for the longest lease that a leader stated, not for that of the platform. Jobs of a leader without records wait for all workers as before.

Because the ends of tasks are proposed before the placements of a step, a task no longer starts before the ends of its predecessors are durable.

Takeover.SilentWorkerHoldsOnlyItsOwnTasks and WorkerThatIsGoneHoldsTasksOnce fail with the former rule put back. Tests that step a dispatcher by hand make its placements durable at once (StepAndRecord).

--- a/packages/control/control_events.h
+++ b/packages/control/control_events.h
@@ -34,6 +34,9 @@
 inline constexpr LogEventDefinition kHeartbeatIgnored{
     9314, LogSeverity::kWarning, "heartbeat_ignored"};
 
+inline constexpr LogEventDefinition kPlacementsNotRecorded{
+    9315, LogSeverity::kWarning, "placements_not_recorded"};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_CONTROL_CONTROL_EVENTS_H_
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -116,7 +116,9 @@
   for (WorkerOrder& order : orders) {
     Send(std::move(order));
   }
+  // The ends of the tasks that a step waits for come before its starts.
   ProposeFinishedRuns();
+  ProposePlacements();
   PurgeOldJobs(now);
   const MonotonicTime sent = options_.clock();
   load_.AddStep({.synchronize = synchronized - now,
@@ -148,7 +150,9 @@
 void DispatchLoop::TakeOver() {
   taking_over_ = true;
   queue_->Propose(
-      BeginLeadership{options_.instance},
+      BeginLeadership{.instance = options_.instance,
+                      .records_placements = true,
+                      .longest_lease_ms = options_.dispatcher.lease.count()},
       [this, alive = alive_, loop = loop_](Result<QueueOutcome> outcome) {
         loop->Post([this, alive, outcome = std::move(outcome)] {
           if (!*alive) {
@@ -280,6 +284,52 @@
       });
 }
 
+void DispatchLoop::ProposePlacements() {
+  auto batch = std::make_shared<Dispatcher::PlacementBatch>(
+      dispatcher_->TakePlacements());
+  if (batch->number != 0) {
+    ProposePlacementBatch(std::move(batch));
+  }
+}
+
+void DispatchLoop::ProposePlacementBatch(
+    std::shared_ptr<Dispatcher::PlacementBatch> batch) {
+  queue_->Propose(batch->command, [this, alive = alive_, loop = loop_,
+                                   batch](const Result<QueueOutcome>& outcome) {
+    loop->Post([this, alive, batch, outcome] {
+      if (*alive && StillLeads(batch->command.leader_epoch)) {
+        HandlePlacementsRecorded(batch, outcome);
+      }
+    });
+  });
+}
+
+void DispatchLoop::HandlePlacementsRecorded(
+    const std::shared_ptr<Dispatcher::PlacementBatch>& batch,
+    const Result<QueueOutcome>& outcome) {
+  if (outcome && !outcome.value().found) {
+    EndLeadership("a newer leader has begun");
+    return;
+  }
+  if (!outcome) {
+    LogEvent(kPlacementsNotRecorded,
+             {{"batch", batch->number}, {"error", outcome.error().ToString()}});
+    loop_->RunAfter(kRecordRetryDelay, [this, alive = alive_, batch] {
+      if (*alive && StillLeads(batch->command.leader_epoch)) {
+        ProposePlacementBatch(batch);
+      }
+    });
+    return;
+  }
+  const MonotonicTime now = options_.clock();
+  const std::vector<WorkerOrder> orders = queue_->Read([&](const QueueState&) {
+    return dispatcher_->MarkPlacementsDurable(batch->number, now);
+  });
+  for (const WorkerOrder& order : orders) {
+    Send(order);
+  }
+}
+
 void DispatchLoop::PurgeOldJobs(MonotonicTime now) {
   if (now - last_purge_ < kPurgeInterval) {
     return;
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -79,6 +79,11 @@
                       MonotonicTime sent);
   void ProposeFinishedRuns();
   void ProposeBatch(std::shared_ptr<Dispatcher::FinishedRunBatch> batch);
+  void ProposePlacements();
+  void ProposePlacementBatch(std::shared_ptr<Dispatcher::PlacementBatch> batch);
+  void HandlePlacementsRecorded(
+      const std::shared_ptr<Dispatcher::PlacementBatch>& batch,
+      const Result<QueueOutcome>& outcome);
   void PurgeOldJobs(MonotonicTime now);
   void ReportLoad(MonotonicTime now);
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -15,10 +15,6 @@
 // the runs of a leader newer than those of all earlier leaders without a
 // durable write for each run. No task is started this often in one epoch.
 constexpr uint64_t kRunNumbersPerLeaderEpoch = 10'000;
-// Added to the maximum lease of an earlier leader, whose end is computed for
-// clocks that are 2% slow. Covers a worker that was paused and stops its runs
-// only after it resumes.
-constexpr Milliseconds kTakeoverMargin{600};
 // Interval at which all workers are looked at for what is due by time. After a
 // response of a worker, the next step looks at it.
 constexpr Milliseconds kWorkerSweepInterval{10};
@@ -29,6 +25,7 @@
     : options_(std::move(options)),
       leader_epoch_(leader_epoch),
       takeover_time_(now),
+      longest_earlier_lease_(options_.maximum_lease),
       selector_(options_.placement) {}
 
 TrackedWorker* Dispatcher::FindWorker(const WorkerAddress& address) {
@@ -62,6 +59,11 @@
 }
 
 void Dispatcher::Synchronize(const QueueState& state, MonotonicTime now) {
+  if (const auto longest_ms = state.longest_lease_ms();
+      !synchronized_ && longest_ms) {
+    longest_earlier_lease_ =
+        std::min(options_.maximum_lease, Milliseconds(*longest_ms));
+  }
   if (workers_revision_ != state.workers_revision()) {
     workers_revision_ = state.workers_revision();
     SynchronizeWorkers(state, now);
@@ -158,7 +160,7 @@
       known ? found->second->outcome : JobOutcome::kCancelled;
   if (outcome == JobOutcome::kOpen) {
     if (!jobs_.contains(id)) {
-      TrackJob(found->second);
+      TrackJob(state, found->second);
     }
     return;
   }
@@ -171,11 +173,16 @@
   }
 }
 
-void Dispatcher::TrackJob(std::shared_ptr<const QueuedJob> job) {
+void Dispatcher::TrackJob(const QueueState& state,
+                          std::shared_ptr<const QueuedJob> job) {
   const std::string id = job->id;
+  const bool unknown = !synchronized_ && state.HasUnknownRuns(id);
   auto tracked = std::make_unique<TrackedJob>(
-      std::move(job), synchronized_ ? TrackedJob::Origin::kThisLeaderEpoch
-                                    : TrackedJob::Origin::kEarlierLeaderEpoch);
+      std::move(job), unknown ? TrackedJob::EarlierRuns::kUnknown
+                              : TrackedJob::EarlierRuns::kKnown);
+  if (!synchronized_) {
+    TrackRecordedRuns(state.recorded_runs().OfJob(id), tracked.get());
+  }
   LogEvent(kJobTracked, {{"job", id},
                          {"queue", tracked->job().queue},
                          {"steps", tracked->job().specification.steps.size()},
@@ -272,31 +279,6 @@
   }
 }
 
-MonotonicTime Dispatcher::EndOfEarlierLeases() const {
-  return takeover_time_ + options_.maximum_lease * 51 / 50 + kTakeoverMargin;
-}
-
-bool Dispatcher::AllWorkersContacted(MonotonicTime now) {
-  if (all_workers_contacted_) {
-    return true;
-  }
-  int64_t not_contacted = 0;
-  bool resolved = true;
-  for (const auto& [id, worker] : workers_) {
-    not_contacted += worker->contacted ? 0 : 1;
-    resolved = resolved && worker->earlier_runs_resolved();
-  }
-  const Milliseconds waited =
-      std::chrono::floor<Milliseconds>(now - takeover_time_);
-  all_workers_contacted_ = resolved;
-  if (all_workers_contacted_) {
-    LogEvent(kAllWorkersContacted, {{"leadership", leader_epoch_},
-                                    {"unheard", not_contacted},
-                                    {"waited_ms", waited.count()}});
-  }
-  return all_workers_contacted_;
-}
-
 void Dispatcher::StartRun(TrackedJob* job,
                           const TaskName& task,
                           uint64_t run,
@@ -348,7 +330,13 @@
              std::chrono::floor<Milliseconds>(now - worker->last_response)
                  .count()}});
   ++counters_.starts;
-  SendStart(worker, {task, run}, &added, now);
+  // The order is sent when the placement is durable. Otherwise a later leader
+  // would not know that the worker, if it is silent then, may have the run.
+  added.order_in_flight = true;
+  added.last_order_sent = now;
+  const WorkerRegistration& registration = worker->registration();
+  placements_.push_back(
+      {task, run, {{registration.id, registration.started_unix_ms}}});
 }
 
 void Dispatcher::SendStart(TrackedWorker* worker,
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -47,6 +47,13 @@
     std::vector<FinishedRun> finished_runs;
   };
 
+  // Runs that must be recorded before the workers are ordered to start them,
+  // and runs that have ended without a report.
+  struct PlacementBatch {
+    uint64_t number = 0;
+    RecordPlacements command;
+  };
+
   struct Counters {
     uint64_t starts = 0;
     uint64_t starts_refused = 0;
@@ -77,6 +84,12 @@
   // has the number 0 when there is nothing to acknowledge.
   FinishedRunBatch TakeFinishedRuns();
   void MarkFinishedRunsDurable(uint64_t batch);
+  // Returns the placements since the last call. The batch has the number 0 when
+  // there is nothing to record.
+  PlacementBatch TakePlacements();
+  // Returns the start orders that waited for the record.
+  std::vector<WorkerOrder> MarkPlacementsDurable(uint64_t batch,
+                                                 MonotonicTime now);
 
   // Handle the responses to orders. `sent` is the time when the order was sent.
   void HandleStartResponse(const WorkerAddress& worker,
@@ -130,7 +143,14 @@
   void SynchronizeJob(const QueueState& state,
                       const std::string& id,
                       MonotonicTime now);
-  void TrackJob(std::shared_ptr<const QueuedJob> job);
+  void TrackJob(const QueueState& state, std::shared_ptr<const QueuedJob> job);
+  // Adds the runs of the job that earlier leaders recorded to the workers that
+  // may have them.
+  void TrackRecordedRuns(const RecordedRuns::JobRuns& recorded,
+                         TrackedJob* job);
+  void TrackRecordedRun(const TaskName& task,
+                        const RecordedRuns::Run& recorded,
+                        TrackedJob* job);
   void CloseJob(const std::string& id,
                 std::string_view reason,
                 MonotonicTime now);
@@ -182,6 +202,10 @@
                 uint64_t run,
                 TrackedWorker* worker,
                 MonotonicTime now);
+  // Sends the start order of a run whose placement has become durable.
+  void SendRecordedStart(TrackedWorker* worker,
+                         const RunKey& key,
+                         MonotonicTime now);
   void SendStart(TrackedWorker* worker,
                  const RunKey& key,
                  TrackedRun* run,
@@ -248,6 +272,9 @@
   bool AllWorkersContacted(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
+  // The same for leases that were meant for an earlier incarnation of a worker.
+  static MonotonicTime EndOfInheritedLeases(MonotonicTime now,
+                                            Milliseconds maximum_lease);
 
   void HandleFinishedRun(TrackedWorker* worker,
                          const ReportedFinishedRun& reported,
@@ -272,6 +299,7 @@
   const Options options_;
   const int64_t leader_epoch_;
   const MonotonicTime takeover_time_;
+  Milliseconds longest_earlier_lease_;
   const WorkerSelector selector_;
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
@@ -290,6 +318,11 @@
   std::map<std::string, int64_t> received_through_;
   std::map<uint64_t, std::map<std::string, int64_t>> unconfirmed_batches_;
   uint64_t last_batch_ = 0;
+  std::vector<RunPlacement> placements_;  // Since the last batch.
+  // Runs whose record is not durable yet, by batch, with their workers.
+  std::map<uint64_t, std::vector<std::pair<std::string, RunKey>>>
+      unrecorded_runs_;
+  uint64_t last_placement_batch_ = 0;
   int64_t unix_ms_ = 0;  // Time of the current step.
   MonotonicTime last_step_;
   MonotonicTime last_lag_;  // When the owner was last late with a step.
--- a/packages/dispatch/dispatcher_crashes.cc
+++ b/packages/dispatch/dispatcher_crashes.cc
@@ -24,6 +24,10 @@
   std::vector<PossibleCrash> earlier;
   bool attributable = true;
   for (const auto& [key, run] : worker.runs()) {
+    // This leader has not ordered it, and it may never have started.
+    if (run.orders_sent == 0 && !run.listed) {
+      continue;
+    }
     // The time of the crash is not known, only that it followed the last
     // response.
     const bool is_recent =
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -49,10 +49,10 @@
     const TrackedStep& step = job->step_record(key.occurrence, key.step);
     longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
     // A worker that is not contacted yet may run any task that an earlier
-    // leader started.
+    // leader started without a record.
     const bool blocked =
         !all_contacted &&
-        job->origin() == TrackedJob::Origin::kEarlierLeaderEpoch;
+        job->earlier_runs() == TrackedJob::EarlierRuns::kUnknown;
     if (!blocked) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
@@ -79,7 +79,8 @@
     task.index = *index;
     const TrackedTask& tracked_task = step.tasks[task.index];
     if (tracked_task.phase != TaskPhase::kReady ||
-        now < tracked_task.not_before || IsHeldAfterCrash(job, task, &step)) {
+        now < tracked_task.not_before || IsHeldAfterCrash(job, task, &step) ||
+        (job->step(task).gang && !job->AreAllTasksReady(task))) {
       continue;
     }
     const WorkerSelection selection =
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -282,6 +282,14 @@
       run->phase = RunPhase::kRunning;
       run->order_in_flight = false;
       run->confirmed = now;
+      if (TrackedJob* job = FindJob(reported.task.job)) {
+        job->started = true;
+      }
+      if (run->from_earlier_leader) {
+        LogEvent(kRunAdopted, {{"task", reported.task.ToString()},
+                               {"run", reported.run},
+                               {"worker", worker->registration().id}});
+      }
     }
     if (reported.progress_percent != run->progress_percent) {
       run->progress_percent = reported.progress_percent;
@@ -300,9 +308,11 @@
   std::vector<RunKey> missing;
   for (const auto& [key, run] : worker->runs()) {
     // The lease renewal was sent after the worker had confirmed the run or its
-    // stop, so the worker would report the run if it were still active.
-    if (run.confirmed && *run.confirmed < sent &&
-        run.list_number != worker->list_number) {
+    // stop, so the worker would report the run if it were still active. After
+    // a renewal of this leader, it rejects the start orders of earlier ones.
+    const bool expected =
+        (run.confirmed && *run.confirmed < sent) || run.from_earlier_leader;
+    if (expected && run.list_number != worker->list_number) {
       missing.push_back(key);
     }
   }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -30,9 +30,6 @@
 constexpr Milliseconds kMaximumResponseAgeForRetry{2'500};
 // Maximum wait of a lease renewal while a run exceeds its target latency.
 constexpr Milliseconds kOverTargetRenewalWait{300};
-// Added to the maximum lease of a worker that was restarted. Covers orders to
-// the earlier incarnation that are on their way.
-constexpr Milliseconds kInheritedLeaseMargin{1'600};
 // Time for reading responses that arrived before all leases have expired.
 constexpr Milliseconds kExpiryConfirmationTime{100};
 // A lease renewal that was not sent may have lacked a free connection on this
@@ -245,8 +242,7 @@
   if (earlier->runs().empty()) {
     return;
   }
-  later->AssumeLease(now + options_.maximum_lease * 51 / 50 +
-                     kInheritedLeaseMargin);
+  later->AssumeLease(EndOfInheritedLeases(now, options_.maximum_lease));
   for (auto& [key, run] : earlier->runs()) {
     run.phase = RunPhase::kStarting;
     run.listed = false;
@@ -273,6 +269,9 @@
   counters_.runs_lost += runs.size();
   for (const RunKey& key : runs) {
     worker->RemoveRun(key);
+    if (jobs_.contains(key.first.job)) {
+      placements_.push_back({key.first, key.second, std::nullopt});
+    }
     Requeue(key.first, key.second, now);
   }
 }
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -72,8 +72,16 @@
 
 void FakePool::ChangeLeader() {
   dispatcher_.reset();
-  const QueueOutcome outcome =
-      state_.Apply({kStartUnixMs, BeginLeadership{"leader"}});
+  leader_resumes_ = now_;
+  // Some records become durable although their leader never learns of it.
+  for (const auto& [time, batch] : std::exchange(unrecorded_placements_, {})) {
+    if (random_() % 2 == 0) {
+      state_.Apply({kStartUnixMs, batch.command});
+    }
+  }
+  const QueueOutcome outcome = state_.Apply(
+      {kStartUnixMs, BeginLeadership{"leader", options_.records_placements,
+                                     options_.lease.count()}});
   Dispatcher::Options options;
   options.lease = options_.lease;
   options.maximum_lease = options_.lease + Milliseconds(500);
@@ -130,6 +138,7 @@
   }
   if (now_ >= leader_resumes_) {
     ReadResponses();
+    RecordPlacementsDue();
     StepDispatcher(dispatcher_.get());
   }
   CheckInvariants();
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -37,6 +37,8 @@
     double fail_task = 0;  // Share of the runs that fail.
     Milliseconds task_time{400};
     Milliseconds lease{5'000};
+    // Whether the leaders state that they record placements.
+    bool records_placements = true;
   };
 
   explicit FakePool(Options options);
@@ -141,6 +143,8 @@
 
   void Step();
   void StepDispatcher(Dispatcher* dispatcher);
+  void Send(const WorkerOrder& order);
+  void RecordPlacementsDue();
   void RegisterRestartedWorkers();
   void ScheduleCrash(const TaskName& task, Worker* worker);
   void CrashDueWorkers();
@@ -178,6 +182,10 @@
   std::vector<Delivery> deliveries_;
   std::vector<Response> responses_;  // The leader has not read them.
   MonotonicTime leader_resumes_;
+  // Placements of the current leader that are not durable yet, and when they
+  // are.
+  std::vector<std::pair<MonotonicTime, Dispatcher::PlacementBatch>>
+      unrecorded_placements_;
   // Of the runs of a task: when those that count as failed attempts ended, as
   // far as the leader has acknowledged them, and when the last one started.
   struct Attempts {
--- a/packages/dispatch/fakes/fake_pool_delivery.cc
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -10,6 +10,7 @@
 
 constexpr Milliseconds kResponseTimeout{1'000};
 constexpr int64_t kMaximumDeliveryDelayMs = 6'000;
+constexpr int64_t kMaximumRecordTimeMs = 20;
 
 }  // namespace
 
@@ -18,32 +19,7 @@
       kStartUnixMs +
       std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
   for (const WorkerOrder& order : dispatcher->Step(state_, now_, unix_ms)) {
-    const int worker = std::stoi(order.worker.id.substr(1));
-    Delivery delivery{now_ + Milliseconds(1 + random_() % 40),
-                      worker,
-                      order,
-                      dispatcher->leader_epoch(),
-                      now_,
-                      true,
-                      false,
-                      workers_[worker].registration.started_unix_ms};
-    const double random_draw = Random();
-    if (random_draw < options_.lose_order) {
-      // The outcome is unknown after the response timeout.
-      delivery.time = now_ + kResponseTimeout;
-      delivery.worker = -1;
-    } else if (random_draw < options_.lose_order + options_.delay_order) {
-      Delivery delayed = delivery;
-      delayed.time = now_ + Milliseconds(random_() % kMaximumDeliveryDelayMs);
-      delayed.has_response = false;
-      deliveries_.push_back(delayed);
-      delivery.time = now_ + kResponseTimeout;
-      delivery.worker = -1;
-    } else if (random_draw < options_.lose_order + options_.delay_order +
-                                 options_.lose_response) {
-      delivery.response_lost = true;
-    }
-    deliveries_.push_back(std::move(delivery));
+    Send(order);
   }
   const Dispatcher::FinishedRunBatch batch = dispatcher->TakeFinishedRuns();
   if (batch.number != 0) {
@@ -56,6 +32,55 @@
     dispatcher->MarkFinishedRunsDurable(batch.number);
     dispatcher->Synchronize(state_, now_);
   }
+  Dispatcher::PlacementBatch placements = dispatcher->TakePlacements();
+  if (placements.number != 0) {
+    unrecorded_placements_.emplace_back(
+        now_ + Milliseconds(random_() % kMaximumRecordTimeMs),
+        std::move(placements));
+  }
+}
+
+void FakePool::RecordPlacementsDue() {
+  for (auto& [time, batch] : std::exchange(unrecorded_placements_, {})) {
+    if (now_ < time) {
+      unrecorded_placements_.emplace_back(time, std::move(batch));
+      continue;
+    }
+    state_.Apply({kStartUnixMs, batch.command});
+    for (const WorkerOrder& order :
+         dispatcher_->MarkPlacementsDurable(batch.number, now_)) {
+      Send(order);
+    }
+  }
+}
+
+void FakePool::Send(const WorkerOrder& order) {
+  const int worker = std::stoi(order.worker.id.substr(1));
+  Delivery delivery{now_ + Milliseconds(1 + random_() % 40),
+                    worker,
+                    order,
+                    dispatcher_->leader_epoch(),
+                    now_,
+                    true,
+                    false,
+                    workers_[worker].registration.started_unix_ms};
+  const double random_draw = Random();
+  if (random_draw < options_.lose_order) {
+    // The outcome is unknown after the response timeout.
+    delivery.time = now_ + kResponseTimeout;
+    delivery.worker = -1;
+  } else if (random_draw < options_.lose_order + options_.delay_order) {
+    Delivery delayed = delivery;
+    delayed.time = now_ + Milliseconds(random_() % kMaximumDeliveryDelayMs);
+    delayed.has_response = false;
+    deliveries_.push_back(delayed);
+    delivery.time = now_ + kResponseTimeout;
+    delivery.worker = -1;
+  } else if (random_draw < options_.lose_order + options_.delay_order +
+                               options_.lose_response) {
+    delivery.response_lost = true;
+  }
+  deliveries_.push_back(std::move(delivery));
 }
 
 void FakePool::Deliver(const Delivery& delivery) {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 
 #include "packages/dispatch/fakes/fake_pool.h"
+#include "packages/dispatch/fakes/recorded_step.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
@@ -137,7 +138,8 @@
   MonotonicTime now = takeover;
   const auto count_starts = [&] {
     int starts = 0;
-    for (const WorkerOrder& order : dispatcher.Step(pool.state(), now, 1)) {
+    for (const WorkerOrder& order :
+         StepAndRecord(&dispatcher, pool.state(), now, 1)) {
       if (const auto* start = std::get_if<StartOrder>(&order.body)) {
         ++starts;
         run = start->run;
@@ -146,6 +148,7 @@
     return starts;
   };
   (void)count_starts();
+  now += Milliseconds(100);  // The task waits for a worker.
   dispatcher.HandleLeaseRenewalResponse(worker, OrderOutcome::kAccepted,
                                         {.clock_ms = 1}, now, now);
   LONGS_EQUAL(1, count_starts());
@@ -185,7 +188,7 @@
     dispatcher.HandleLeaseRenewalResponse(worker, OrderOutcome::kAccepted,
                                           response, now, now);
     const std::vector<WorkerOrder> orders =
-        dispatcher.Step(pool.state(), now, 1);
+        StepAndRecord(&dispatcher, pool.state(), now, 1);
     return std::count_if(
         orders.begin(), orders.end(), [](const WorkerOrder& order) {
           return std::holds_alternative<StartOrder>(order.body);
@@ -225,7 +228,8 @@
   dispatcher.Synchronize(pool.state(), late);
   const auto count_starts = [&](MonotonicTime now) {
     int starts = 0;
-    for (const WorkerOrder& order : dispatcher.Step(pool.state(), now, 1)) {
+    for (const WorkerOrder& order :
+         StepAndRecord(&dispatcher, pool.state(), now, 1)) {
       starts += std::holds_alternative<StartOrder>(order.body) ? 1 : 0;
     }
     return starts;
--- a/packages/dispatch/tests/one_worker_fixture.h
+++ b/packages/dispatch/tests/one_worker_fixture.h
@@ -8,6 +8,7 @@
 
 #include "packages/dispatch/dispatch.h"
 #include "packages/dispatch/fakes/fake_pool.h"
+#include "packages/dispatch/fakes/recorded_step.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
@@ -30,6 +31,7 @@
     configuration.version = 1;
     configuration.pools.push_back({.name = "pool"});
     Apply(ReplaceConfiguration{configuration});
+    Apply(BeginLeadership{.instance = "leader", .records_placements = true});
     registration_.id = "w";
     registration_.started_unix_ms = kUnixMs;
     registration_.address = "10.0.0.1:80";
@@ -153,7 +155,7 @@
         return true;
       });
       for (const WorkerOrder& order :
-           dispatcher_->Step(state_, now_, kUnixMs)) {
+           StepAndRecord(dispatcher_.get(), &state_, now_, kUnixMs)) {
         starts_ += std::holds_alternative<StartOrder>(order.body) ? 1 : 0;
         const auto* body = std::get_if<LeaseRenewalOrder>(&order.body);
         if (body != nullptr && order.worker.id == "w") {
@@ -189,7 +191,8 @@
   std::vector<Order> Step(Milliseconds elapsed) {
     now_ += elapsed;
     std::vector<Order> found;
-    for (const WorkerOrder& order : dispatcher_->Step(state_, now_, kUnixMs)) {
+    for (const WorkerOrder& order :
+         StepAndRecord(dispatcher_.get(), &state_, now_, kUnixMs)) {
       if (const auto* body = std::get_if<Order>(&order.body)) {
         found.push_back(*body);
       }
--- a/packages/dispatch/tests/placement_load_test.cc
+++ b/packages/dispatch/tests/placement_load_test.cc
@@ -4,6 +4,7 @@
 #include "packages/dispatch/dispatch.h"
 #include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/fakes/fake_pool.h"
+#include "packages/dispatch/fakes/recorded_step.h"
 #include "packages/dispatch/worker_ranking.h"
 
 // Redefines operator new, so it comes after the standard library.
@@ -51,7 +52,7 @@
   // wait: jobs, ready tasks and runs that are looked at.
   uint64_t VisitsForAnEndedJob(int jobs, int tasks) {
     Submit(jobs, tasks);
-    (void)dispatcher_.Step(state_, now_, kUnixMs);
+    (void)StepAndRecord(&dispatcher_, &state_, now_, kUnixMs);
     const Dispatcher::Counters before = dispatcher_.counters();
     state_.Apply({kUnixMs, CancelQueuedJob{"job-0"}});
     dispatcher_.Synchronize(state_, now_);
@@ -73,7 +74,8 @@
 
   size_t StartsOfOneStep() {
     size_t starts = 0;
-    for (const WorkerOrder& order : dispatcher_.Step(state_, now_, kUnixMs)) {
+    for (const WorkerOrder& order :
+         StepAndRecord(&dispatcher_, &state_, now_, kUnixMs)) {
       starts += std::holds_alternative<StartOrder>(order.body) ? 1 : 0;
     }
     return starts;
--- /dev/null
+++ b/packages/dispatch/tests/takeover_test.cc
@@ -0,0 +1,112 @@
+#include "packages/dispatch/fakes/fake_pool.h"
+
+// Redefines operator new, so it comes after the standard library.
+#include "CppUTest/TestHarness.h"
+
+namespace bramleyrail {
+namespace {
+
+constexpr Milliseconds kLongEnough{30'000};
+constexpr int kTasks = 8;
+constexpr int kTasksPerWorker = 2;
+// The lease of FakePool by a slow clock, the margin of a takeover, and a call
+// that times out.
+constexpr Milliseconds kLeaseAndMargins{5'100 + 600 + 1'100};
+
+TEST_GROUP(Takeover){// Two tasks for each of four workers.
+                     static JobSpecification LongRunningJob(){
+                         JobSpecification job = FakePool::Job(kTasks, 1);
+job.steps[0].long_running = true;
+job.steps[0].maximum_tasks_per_worker = kTasksPerWorker;
+return job;
+}  // namespace
+
+static void RunsWithin(FakePool* pool, int tasks, Milliseconds limit) {
+  CHECK(pool->RunUntil([&] { return pool->RunningTasks() == tasks; }, limit));
+  CHECK_TRUE_TEXT(pool->violation().empty(), pool->violation().c_str());
+}
+};  // namespace bramleyrail
+
+// LOST: a long-running task stood still although its run had ended, since the
+// new leader waited for one silent worker before it started any earlier task.
+TEST(Takeover, SilentWorkerHoldsOnlyItsOwnTasks) {
+  FakePool pool({.workers = 5});
+  pool.Submit("job", LongRunningJob());
+  RunsWithin(&pool, kTasks, kLongEnough);
+  const int on_silent = pool.RunsOn(0);
+  CHECK(on_silent > 0 && on_silent < kTasks);
+  pool.PauseLeader(kLongEnough);
+  pool.RunFor(Milliseconds(6'000));
+  LONGS_EQUAL(0, pool.RunningTasks());  // All leases have lapsed.
+  pool.SetPartitioned(0, true);
+  pool.ChangeLeader();
+  RunsWithin(&pool, kTasks - on_silent, Milliseconds(1'000));
+  RunsWithin(&pool, kTasks, kLeaseAndMargins);
+}
+
+// Fails when a new leader starts a task that may still run on a silent worker.
+TEST(Takeover, TasksOfASilentWorkerWaitForItsLease) {
+  FakePool pool({.workers = 5});
+  pool.Submit("job", LongRunningJob());
+  RunsWithin(&pool, kTasks, kLongEnough);
+  pool.SetPartitioned(0, true);
+  pool.ChangeLeader();
+  pool.RunFor(Milliseconds(4'500));
+  LONGS_EQUAL(kTasks, pool.starts());
+  pool.RunFor(kLeaseAndMargins);
+  LONGS_EQUAL(kTasks, pool.RunningTasks());
+  CHECK(pool.starts() > kTasks);
+  CHECK_TRUE_TEXT(pool.violation().empty(), pool.violation().c_str());
+}
+
+// Fails when a worker that is gone for good holds tasks at each later takeover.
+TEST(Takeover, WorkerThatIsGoneHoldsTasksOnce) {
+  FakePool pool({.workers = 5});
+  pool.Submit("job", LongRunningJob());
+  RunsWithin(&pool, kTasks, kLongEnough);
+  pool.SetPartitioned(0, true);
+  pool.ChangeLeader();
+  pool.RunFor(Milliseconds(10'000));
+  LONGS_EQUAL(0, pool.RunsOn(0));
+  RunsWithin(&pool, kTasks, Milliseconds(0));
+  pool.PauseLeader(kLongEnough);
+  pool.RunFor(Milliseconds(6'000));
+  pool.ChangeLeader();
+  RunsWithin(&pool, kTasks, Milliseconds(1'000));
+}
+
+// Fails when a task stands still from the first of several takeovers to the
+// last, although the worker that had it has answered.
+TEST(Takeover, TakeoversInSeriesDoNotAddUp) {
+  FakePool pool({.workers = 5});
+  pool.Submit("job", LongRunningJob());
+  RunsWithin(&pool, kTasks, kLongEnough);
+  const int on_silent = pool.RunsOn(0);
+  pool.SetPartitioned(0, true);
+  for (int i = 0; i < 4; ++i) {
+    pool.ChangeLeader();
+    pool.RunFor(Milliseconds(3'000));
+    CHECK(pool.RunningTasks() >= kTasks - on_silent);
+  }
+  CHECK_TRUE_TEXT(pool.violation().empty(), pool.violation().c_str());
+}
+
+// Jobs of a leader of an earlier version have no records. Fails when the tasks
+// of such a job start before all workers have been heard.
+TEST(Takeover, TasksWithoutRecordsWaitForEveryWorker) {
+  FakePool pool({.workers = 5, .records_placements = false});
+  pool.Submit("job", LongRunningJob());
+  RunsWithin(&pool, kTasks, kLongEnough);
+  const int on_silent = pool.RunsOn(0);
+  CHECK(on_silent > 0);
+  pool.SetPartitioned(0, true);
+  pool.ChangeLeader();
+  pool.RunFor(Milliseconds(4'500));
+  LONGS_EQUAL(kTasks, pool.starts());
+  pool.RunFor(kLeaseAndMargins);
+  LONGS_EQUAL(kTasks + on_silent, pool.starts());
+  CHECK_TRUE_TEXT(pool.violation().empty(), pool.violation().c_str());
+}
+
+}  // namespace
+}  // namespace bramleyrail
--- a/packages/dispatch/tests/worker_end_test.cc
+++ b/packages/dispatch/tests/worker_end_test.cc
@@ -196,7 +196,8 @@
   dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
   now_ += Milliseconds(10);
   std::vector<std::string> workers;
-  for (const WorkerOrder& order : dispatcher_->Step(state_, now_, kUnixMs)) {
+  for (const WorkerOrder& order :
+       StepAndRecord(dispatcher_.get(), &state_, now_, kUnixMs)) {
     if (std::holds_alternative<StartOrder>(order.body)) {
       workers.push_back(order.worker.id);
     }
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -26,11 +26,12 @@
 
 }  // namespace
 
-TrackedJob::TrackedJob(std::shared_ptr<const QueuedJob> job, Origin origin)
+TrackedJob::TrackedJob(std::shared_ptr<const QueuedJob> job,
+                       EarlierRuns earlier_runs)
     : job_(std::move(job)),
       id_(job_->id),
       payload_(std::make_shared<const JsonText>(job_->specification.payload)),
-      origin_(origin) {
+      earlier_runs_(earlier_runs) {
   const JobSpecification& specification = job_->specification;
   critical_path_ms_ = CriticalPathFromEachStep(specification);
   const int64_t longest_ms = critical_path_ms_.empty()
@@ -144,6 +145,13 @@
   return ready;
 }
 
+bool TrackedJob::AreAllTasksReady(const TaskName& name) {
+  const std::vector<TrackedTask>& tasks = step_record(name).tasks;
+  return std::all_of(tasks.begin(), tasks.end(), [](const TrackedTask& task) {
+    return task.phase == TaskPhase::kReady;
+  });
+}
+
 std::optional<int64_t> TrackedJob::NextReleaseUnixMs() const {
   // The occurrences are due one after the other.
   const auto next = std::find_if(
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -69,9 +69,11 @@
 // or done. Finished runs take effect here before they are durable.
 class TrackedJob {
  public:
-  enum class Origin { kThisLeaderEpoch, kEarlierLeaderEpoch };
+  // Whether it is known on which workers earlier leaders may have started
+  // tasks of the job.
+  enum class EarlierRuns { kKnown, kUnknown };
 
-  TrackedJob(std::shared_ptr<const QueuedJob> job, Origin origin);
+  TrackedJob(std::shared_ptr<const QueuedJob> job, EarlierRuns earlier_runs);
 
   const QueuedJob& job() const { return *job_; }
   const std::shared_ptr<const QueuedJob>& shared_job() const { return job_; }
@@ -80,7 +82,7 @@
   const JobStep& step(const TaskName& task) const {
     return job_->specification.steps[task.step];
   }
-  Origin origin() const { return origin_; }
+  EarlierRuns earlier_runs() const { return earlier_runs_; }
   bool HasTask(const TaskName& task) const;
   TrackedTask& task(const TaskName& task);
   TrackedStep& step_record(int64_t occurrence, int64_t step) {
@@ -101,6 +103,8 @@
   // Releases the occurrences that are due and returns the tasks that become
   // ready.
   std::vector<TaskName> Release(int64_t unix_ms);
+  // Whether no task of the step is waiting, active or done.
+  bool AreAllTasksReady(const TaskName& task);
   // When the next occurrence is due; nullopt when all are released.
   std::optional<int64_t> NextReleaseUnixMs() const;
   // Marks the task, or its whole gang, as done. Returns the tasks of later
@@ -133,7 +137,7 @@
   // A copy, because the state discards the payload when the job ends, while
   // start orders may still be on their way to the network.
   const std::shared_ptr<const JsonText> payload_;
-  const Origin origin_;
+  const EarlierRuns earlier_runs_;
   std::vector<TrackedOccurrence> occurrences_;
   // Estimated duration of the longest chain of steps from each step on.
   std::vector<int64_t> critical_path_ms_;
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -17,7 +17,8 @@
 }  // namespace
 
 bool MayRunOnLaterIncarnation(const TrackedRun& run) {
-  return !run.listed || run.orders_sent > 1;
+  return run.from_earlier_leader ? !run.listed
+                                 : run.orders_sent > (run.listed ? 1 : 0);
 }
 
 TrackedWorker::TrackedWorker(WorkerRegistration registration) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -34,7 +34,9 @@
   std::shared_ptr<const QueuedJob> job;
   const JobStep* step = nullptr;
   ResourceAmounts reserved;
-  MonotonicTime started;  // Or adopted from an earlier leader.
+  MonotonicTime started;  // Or taken over from an earlier leader.
+  // Recorded by an earlier leader; whether it has ordered the start is unknown.
+  bool from_earlier_leader = false;
   // The worker gets no other run while this one may crash it.
   bool isolated = false;
   MonotonicTime last_order_sent;  // The last start or stop order.
