--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -35,6 +35,10 @@
     9214, LogSeverity::kInfo, "workers_known_again"};
 inline constexpr LogEventDefinition kStepWaits{9215, LogSeverity::kInfo,
                                                "step_waits"};
+inline constexpr LogEventDefinition kEarlierRunsHeld{9216, LogSeverity::kInfo,
+                                                     "earlier_runs_held"};
+inline constexpr LogEventDefinition kStepHeldAfterCrash{
+    9217, LogSeverity::kInfo, "step_held_after_crash"};
 
 inline constexpr LogEventDefinition kWorkerCrashCounted{
     9220, LogSeverity::kWarning, "worker_crash_counted"};
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -191,6 +191,10 @@
   static void EndWait(TargetProtection protection,
                       MonotonicTime now,
                       TrackedStep* step);
+  // Logs that no task of a step starts before a suspected one has run.
+  void ReportHeldAfterCrash(const TaskName& task,
+                            MonotonicTime now,
+                            TrackedStep* step);
   // Logs why a step waits, after 1 s and each time that the wait has doubled.
   void ReportWait(const TrackedJob& job,
                   const TaskName& task,
@@ -270,6 +274,8 @@
   void ObserveLag(MonotonicTime now);
   bool HasLaggedSince(MonotonicTime time, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
+  // Logs once which workers may still run tasks of earlier leaders.
+  void ReportHeldRuns(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
   // The same for leases that were meant for an earlier incarnation of a worker.
@@ -333,6 +339,7 @@
   uint64_t workers_revision_ = 0;
   uint64_t jobs_revision_ = 0;
   bool all_workers_contacted_ = false;
+  bool held_runs_reported_ = false;
   bool superseded_ = false;
   Counters counters_;
 };
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -72,6 +72,7 @@
   const MonotonicTime now = pass->now;
   TrackedStep& step = job->step_record(task);
   std::optional<WorkerRanking> ranking;
+  bool held_after_crash = false;
   // Placing a task removes its index, or those of its gang.
   for (auto index = step.ready_tasks.begin();
        index != step.ready_tasks.end() && !pass->IsOver();
@@ -79,10 +80,14 @@
     task.index = *index;
     const TrackedTask& tracked_task = step.tasks[task.index];
     if (tracked_task.phase != TaskPhase::kReady ||
-        now < tracked_task.not_before || IsHeldAfterCrash(job, task, &step) ||
+        now < tracked_task.not_before ||
         (job->step(task).gang && !job->AreAllTasksReady(task))) {
       continue;
     }
+    if (IsHeldAfterCrash(job, task, &step)) {
+      held_after_crash = true;
+      continue;
+    }
     const WorkerSelection selection =
         job->step(task).gang
             ? PlaceGang(eligible, job, task, pass)
@@ -99,6 +104,29 @@
       ranking.reset();
     }
   }
+  if (!held_after_crash) {
+    step.held_since.reset();
+    step.held_reports = 0;
+    return;
+  }
+  ReportHeldAfterCrash(task, now, &step);
+}
+
+void Dispatcher::ReportHeldAfterCrash(const TaskName& task,
+                                      MonotonicTime now,
+                                      TrackedStep* step) {
+  if (!step->held_since) {
+    step->held_since = now;
+  }
+  const auto held = std::chrono::floor<Milliseconds>(now - *step->held_since);
+  if (held < kFirstWaitReport * (int64_t{1} << step->held_reports)) {
+    return;
+  }
+  ++step->held_reports;
+  LogEvent(kStepHeldAfterCrash,
+           {{"task", task.ToString()},
+            {"held_ms", held.count()},
+            {"suspect", step->crash_suspect.value_or(-1)}});
 }
 
 void Dispatcher::EndWait(TargetProtection protection,
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -18,6 +18,8 @@
 // Added to the maximum lease of a worker that was restarted. Covers orders to
 // the earlier incarnation that are on their way.
 constexpr Milliseconds kInheritedLeaseMargin{1'600};
+// Workers that have not responded this long after the takeover are logged.
+constexpr Milliseconds kHeldRunsReport{1'000};
 
 }  // namespace
 
@@ -43,6 +45,9 @@
   const Milliseconds waited =
       std::chrono::floor<Milliseconds>(now - takeover_time_);
   all_workers_contacted_ = resolved;
+  if (!resolved && waited >= kHeldRunsReport) {
+    ReportHeldRuns(now);
+  }
   if (all_workers_contacted_) {
     LogEvent(kAllWorkersContacted, {{"leadership", leader_epoch_},
                                     {"unheard", not_contacted},
@@ -51,6 +56,26 @@
   return all_workers_contacted_;
 }
 
+void Dispatcher::ReportHeldRuns(MonotonicTime now) {
+  if (std::exchange(held_runs_reported_, true)) {
+    return;
+  }
+  for (const auto& [id, worker] : workers_) {
+    if (worker->earlier_runs_resolved() || worker->runs().empty()) {
+      continue;
+    }
+    const MonotonicTime until =
+        std::max(worker->LeaseDeadline().value_or(EndOfEarlierLeases()),
+                 EndOfEarlierLeases());
+    LogEvent(kEarlierRunsHeld,
+             {{"worker", id},
+              {"runs", worker->runs().size()},
+              {"task", worker->runs().begin()->first.first.ToString()},
+              {"lease_left_ms",
+               std::chrono::ceil<Milliseconds>(until - now).count()}});
+  }
+}
+
 void Dispatcher::TrackRecordedRuns(const RecordedRuns::JobRuns& recorded,
                                    TrackedJob* job) {
   for (const auto& [key, run] : recorded) {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -51,6 +51,9 @@
   // how often that was logged.
   std::optional<MonotonicTime> waiting_since;
   int wait_reports = 0;
+  // The same for the tasks that a crash holds.
+  std::optional<MonotonicTime> held_since;
+  int held_reports = 0;
   // Index of a task that may crash its workers. The other tasks of the step
   // probably behave like it and wait until it has run without a crash.
   std::optional<int64_t> crash_suspect;
