Http: Reuse no connection that was closed or has unexpected input

A response that belongs to no request, left on a kept connection, was taken for the response to the next call. Every later call on the connection then got the response of the one before it, so that a start which a worker executes could count as rejected and its task start again elsewhere. A connection that the server had closed while it was idle was used as well: the request was written, failed, and was sent a second time, which left the outcome of a rejected order unknown.

Before a kept connection is used, the client now looks whether anything can be read from it. If so, it opens a new connection, and nothing has been sent then. A close that arrives after that is handled as before, with a second copy.

The tests failed before. AsyncHttp.SecondResponseToACallIsNotThatOfTheNextOne: expected <200> but was <409>. AsyncHttp.ClosedIdleConnectionIsNotUsed: CHECK(!second.value().sent_twice) failed.

--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -79,6 +79,13 @@
     return poll(&descriptor, 1, 0) > 0;
   }
 
+  // Whether the server has closed the connection while no call used it, or has
+  // sent something that belongs to no call.
+  bool HasUnexpectedInput() {
+    pollfd descriptor{socket.native_handle(), POLLIN, 0};
+    return buffer.size() > 0 || poll(&descriptor, 1, 0) > 0;
+  }
+
   // Read and written without waiting, never by operations of the loop: those
   // could hold a part of a response when the deadline is looked at.
   tcp::socket socket;
@@ -174,7 +181,12 @@
     Connect(call);
   } else {
     call->connection = connections_.at(call->number);
-    Exchange(call);
+    if (call->connection->HasUnexpectedInput()) {
+      call->connection->Close();
+      Connect(call);
+    } else {
+      Exchange(call);
+    }
   }
   return true;
 }
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -84,10 +84,11 @@
 };
 
 // A server of few words: answers the first request of its first connection, and
-// then reads another one and closes the connection without an answer.
+// then reads another one and closes the connection without an answer. Or it
+// closes the idle connection, or sends a second response to the first request.
 class ServerThatClosesSilently {
  public:
-  enum class Then { kStopListening, kAnswer };
+  enum class Then { kStopListening, kAnswer, kCloseIdle, kAnswerAgain };
 
   explicit ServerThatClosesSilently(Then then) {
     sockaddr_in address{};
@@ -98,6 +99,9 @@
       perror("bind");
     }
     listen(listener_, 8);
+    // A client that does not connect again must not hold up the test.
+    const timeval timeout{.tv_sec = 2, .tv_usec = 0};
+    setsockopt(listener_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     socklen_t size = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     address_ = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
@@ -120,10 +124,10 @@
     }
   }
 
-  static void Answer(int connection) {
-    constexpr std::string_view kResponse =
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
-    if (write(connection, kResponse.data(), kResponse.size()) < 0) {
+  static void Answer(int connection, std::string_view after = "") {
+    std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    response += after;
+    if (write(connection, response.data(), response.size()) < 0) {
       perror("write");
     }
   }
@@ -131,19 +135,31 @@
   void Serve(Then then) const {
     const int connection = accept(listener_, nullptr, nullptr);
     ReadRequest(connection);
-    Answer(connection);
-    ReadRequest(connection);
+    if (then == Then::kAnswerAgain) {
+      Answer(connection,
+             "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}");
+    } else {
+      Answer(connection);
+    }
+    if (then == Then::kStopListening || then == Then::kAnswer) {
+      ReadRequest(connection);
+    }
     if (then == Then::kStopListening) {
       close(listener_);
       close(connection);
       return;
     }
-    close(connection);
+    if (then != Then::kAnswerAgain) {
+      close(connection);
+    }
     const int next = accept(listener_, nullptr, nullptr);
     ReadRequest(next);
     Answer(next);
     close(next);
     close(listener_);
+    if (then == Then::kAnswerAgain) {
+      close(connection);
+    }
   }
 
   const int listener_ = socket(AF_INET, SOCK_STREAM, 0);
@@ -221,6 +237,36 @@
   CHECK(second.value().sent_twice);
 }
 
+// Guards against a response that belongs to no request and is taken for the one
+// to the next call: a start that the worker executes would count as rejected.
+TEST(AsyncHttp, SecondResponseToACallIsNotThatOfTheNextOne) {
+  LoopWithServer loop([](const HttpRequest&, const HttpResponder&) {});
+  const ServerThatClosesSilently server(
+      ServerThatClosesSilently::Then::kAnswerAgain);
+  CHECK(
+      loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
+  const auto second =
+      loop.Call(Post("x"), Milliseconds(5'000), server.address());
+  CHECK(second.has_value());
+  LONGS_EQUAL(200, second.value().status);
+  CHECK(!second.value().sent_twice);
+}
+
+// Guards against a call that is written to a connection which the server has
+// closed before. Its outcome was unknown for want of a first response.
+TEST(AsyncHttp, ClosedIdleConnectionIsNotUsed) {
+  LoopWithServer loop([](const HttpRequest&, const HttpResponder&) {});
+  const ServerThatClosesSilently server(
+      ServerThatClosesSilently::Then::kCloseIdle);
+  CHECK(
+      loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
+  std::this_thread::sleep_for(Milliseconds(100));
+  const auto second =
+      loop.Call(Post("x"), Milliseconds(5'000), server.address());
+  CHECK(second.has_value());
+  CHECK(!second.value().sent_twice);
+}
+
 // Guards against a connection for each of many calls at once, which used up the
 // descriptors of the process.
 TEST(AsyncHttp, CallsBeyondTheLimitWaitForAConnection) {
