--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -110,6 +110,8 @@
   ~ServerThatClosesSilently() { thread_.join(); }
 
   const std::string& address() const { return address_; }
+  // Waits until the first connection is closed.
+  void WaitForClose() const { closed_.WaitForNotification(); }
 
  private:
   static void ReadRequest(int connection) {
@@ -132,7 +134,7 @@
     }
   }
 
-  void Serve(Then then) const {
+  void Serve(Then then) {
     const int connection = accept(listener_, nullptr, nullptr);
     ReadRequest(connection);
     if (then == Then::kAnswerAgain) {
@@ -151,6 +153,7 @@
     }
     if (then != Then::kAnswerAgain) {
       close(connection);
+      closed_.Notify();
     }
     const int next = accept(listener_, nullptr, nullptr);
     ReadRequest(next);
@@ -164,6 +167,7 @@
 
   const int listener_ = socket(AF_INET, SOCK_STREAM, 0);
   std::string address_;
+  absl::Notification closed_;
   std::thread thread_;
 };
 
@@ -260,7 +264,7 @@
       ServerThatClosesSilently::Then::kCloseIdle);
   CHECK(
       loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
-  std::this_thread::sleep_for(Milliseconds(100));
+  server.WaitForClose();
   const auto second =
       loop.Call(Post("x"), Milliseconds(5'000), server.address());
   CHECK(second.has_value());
