Dispatch: Check that no task is active without a run

Two of the hypotheses are a task that is active in the leader's books without a run, and one that is ready and not among the tasks to place. Nothing looked for either.

Dispatcher::FindInconsistency returns the first such task. FakePool calls it after each step, so that every test with a pool checks it. FakePool can also end a worker for good, make entries of its lists unreadable and stop losses.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -130,6 +130,9 @@
   size_t worker_count() const { return workers_.size(); }
   size_t job_count() const { return jobs_.size(); }
   size_t ready_task_count() const { return ready_.task_count(); }
+  // Returns the first task that would stand still: one that is active without a
+  // run on its worker, or ready and not among the tasks to place. For tests.
+  std::optional<std::string> FindInconsistency() const;
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
@@ -137,6 +140,8 @@
   TrackedWorker* FindWorker(const WorkerAddress& address);
   TrackedJob* FindJob(std::string_view id);
   uint64_t NextRunNumber(const TrackedTask& task) const;
+  // Whether the worker of the task has its last run.
+  bool HasLastRun(const TaskName& name, const TrackedTask& task) const;
   void EnqueueReadyTasks(TrackedJob* job, const std::vector<TaskName>& tasks);
   void SynchronizeWorkers(const QueueState& state, MonotonicTime now);
   void SynchronizeJobs(const QueueState& state, MonotonicTime now);
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -265,6 +265,15 @@
       response.finished.push_back(finished);
     }
   }
+  if (worker->unreadable) {
+    response.complete = response.running.empty() && response.finished.empty();
+    response.running.erase(
+        response.running.begin(),
+        response.running.begin() + (response.running.empty() ? 0 : 1));
+    response.finished.erase(
+        response.finished.begin(),
+        response.finished.begin() + (response.finished.empty() ? 0 : 1));
+  }
   return response;
 }
 
@@ -346,6 +355,9 @@
       }
     }
   }
+  if (const auto inconsistency = dispatcher_->FindInconsistency()) {
+    RecordViolation(*inconsistency);
+  }
 }
 
 void FakePool::RecordViolation(const std::string& violation) {
@@ -370,6 +382,17 @@
   return count;
 }
 
+bool FakePool::IsPartitioned(std::string_view id) const {
+  return std::any_of(
+      workers_.begin(), workers_.end(), [id](const Worker& worker) {
+        return worker.registration.id == id && worker.partitioned;
+      });
+}
+
+bool FakePool::IsRunning(const TaskName& task) const {
+  return CpuLimitOf(task) >= 0;
+}
+
 int64_t FakePool::CpuLimitOf(const TaskName& task) const {
   for (const Worker& worker : workers_) {
     for (const auto& [key, run] : worker.runs) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,7 +23,8 @@
 // may pause. Checks after every step that no task runs twice at the same time,
 // and at every start that the task is not recorded as done, that no response
 // which reached the leader's machine lists it as done, and that its
-// predecessors are recorded as done.
+// predecessors are recorded as done. Checks after every step that the records
+// of the leader are consistent.
 class FakePool {
  public:
   struct Options {
@@ -59,7 +61,17 @@
   // Ends the process and restarts it under the same id as a new incarnation,
   // which registers later. Orders name only the id, so the new incarnation
   // executes those that were meant for the earlier one.
-  void Crash(int worker);
+  // Its machine refuses connections for the time `down`.
+  void Crash(int worker, Milliseconds down = Milliseconds(0));
+  // Ends the process for good. Its registration stays.
+  void Remove(int worker);
+  // While set, the lists of the worker lack their first running and their first
+  // finished run, as if these entries could not be read.
+  void SetUnreadable(int worker, bool unreadable) {
+    workers_[worker].unreadable = unreadable;
+  }
+  // From now on, no order and no response is lost or delayed.
+  void StopLosses() { losses_stopped_ = true; }
   // Makes every run on the worker fail.
   void FailAll(int worker, bool fails) { workers_[worker].fails_all = fails; }
   void SetDraining(int worker);
@@ -81,6 +93,8 @@
   JobOutcome Outcome(const std::string& id) const;
   int RunsOn(int worker) const;
   int RunningTasks() const;
+  bool IsRunning(const TaskName& task) const;
+  bool IsPartitioned(std::string_view worker) const;
   int starts() const { return starts_; }
   int64_t CpuLimitOf(const TaskName& task) const;
   // How many workers have crashed, for any reason.
@@ -117,6 +131,7 @@
     int64_t acknowledged_through = 0;
     bool partitioned = false;
     bool fails_all = false;
+    bool unreadable = false;
     std::optional<MonotonicTime> registers_at;  // After a restart.
     MonotonicTime down_until;  // Refuses connections before this time.
     std::optional<MonotonicTime> crashes_at;
@@ -184,6 +199,7 @@
   std::vector<Delivery> deliveries_;
   std::vector<Response> responses_;  // The leader has not read them.
   MonotonicTime leader_resumes_;
+  bool losses_stopped_ = false;
   // Placements and finished runs of the current leader that are not durable
   // yet, and when they are.
   std::vector<std::pair<MonotonicTime, Dispatcher::PlacementBatch>>
--- a/packages/dispatch/fakes/fake_pool_crashes.cc
+++ b/packages/dispatch/fakes/fake_pool_crashes.cc
@@ -49,13 +49,11 @@
         down = std::max(down, crashing->second);
       }
     }
-    Crash(static_cast<int>(number));
-    workers_[number].down_until = now_ + down;
-    *workers_[number].registers_at += down;
+    Crash(static_cast<int>(number), down);
   }
 }
 
-void FakePool::Crash(int number) {
+void FakePool::Crash(int number, Milliseconds down) {
   ++crashes_;
   Worker& worker = workers_[number];
   Worker next;
@@ -63,11 +61,19 @@
   ++next.registration.started_unix_ms;
   next.clock_start_ms = worker.clock_start_ms;
   next.partitioned = worker.partitioned;
+  next.unreadable = worker.unreadable;
+  next.down_until = now_ + down;
   next.registers_at =
-      now_ + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
+      now_ + down + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
   worker = std::move(next);
 }
 
+void FakePool::Remove(int number) {
+  Crash(number);
+  workers_[number].down_until = MonotonicTime::max();
+  workers_[number].registers_at.reset();
+}
+
 void FakePool::RegisterRestartedWorkers() {
   for (Worker& worker : workers_) {
     if (worker.registers_at && *worker.registers_at <= now_) {
--- a/packages/dispatch/fakes/fake_pool_delivery.cc
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -79,7 +79,7 @@
                     true,
                     false,
                     workers_[worker].registration.started_unix_ms};
-  const double random_draw = Random();
+  const double random_draw = losses_stopped_ ? 1 : Random();
   if (random_draw < options_.lose_order) {
     // The outcome is unknown after the response timeout.
     delivery.time = now_ + kResponseTimeout;
--- a/packages/dispatch/ready_steps.cc
+++ b/packages/dispatch/ready_steps.cc
@@ -61,6 +61,12 @@
   return visits;
 }
 
+bool ReadySteps::Contains(TrackedJob& job, const TaskName& task) const {
+  const Key key = KeyOf(&job, task);
+  return job.step_record(task).ready_tasks.contains(task.index) &&
+         (steps_.contains(key) || deferred_.contains(key));
+}
+
 void ReadySteps::Defer(TrackedJob* job, const TaskName& task) {
   deferred_.insert(steps_.extract(KeyOf(job, task)));
 }
--- a/packages/dispatch/ready_steps.h
+++ b/packages/dispatch/ready_steps.h
@@ -35,6 +35,8 @@
   // Returns the number of entries that it looked at.
   size_t RemoveJob(TrackedJob* job);
 
+  bool Contains(TrackedJob& job, const TaskName& task) const;
+
   // Takes the step out of steps() until the next call of Resume().
   void Defer(TrackedJob* job, const TaskName& task);
   // Adds the deferred steps to steps() again and updates how late each is.
