Dispatch: Count the ends that can be read in an incomplete list

A new leader discarded the whole response of a worker whose lists contain an entry that cannot be read. When the lease of the worker had ended, a task that the response listed as done started again.

The ends in such a response now take effect. As before, the worker gets no lease until all its entries can be read.

WorkerContact.EndInAnIncompleteListCountsForANewLeader fails without the change (0 completed runs instead of 1).

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -365,9 +365,13 @@
     return;
   }
   // An entry that cannot be read may be a run of an earlier leader. Without
-  // further leases it ends, and its task can start again.
+  // further leases it ends, and its task can start again. The ends that can be
+  // read count nevertheless: a task that is done must not start again.
   if (outcome == OrderOutcome::kAccepted && !response.complete &&
       !worker->contacted) {
+    for (const ReportedFinishedRun& reported : response.finished) {
+      HandleFinishedRun(worker, reported, now);
+    }
     outcome = OrderOutcome::kUnknown;
   }
   due_workers_.push_back(address.id);
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -184,5 +184,28 @@
   CHECK(!renewals.front().lease_until_ms);
 }
 
+// Fails when a new leader discards the ends that it can read in a list with an
+// entry that it cannot read: a task that is done would run again after the
+// leases of the worker.
+TEST(WorkerContact, EndInAnIncompleteListCountsForANewLeader) {
+  SubmitOneTask();
+  const auto first = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, first.size());
+  AddOtherWorker();
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  LeaseRenewalResponse response{.clock_ms = 5'000};
+  response.complete = false;
+  response.finished.push_back(
+      {1,
+       {first.front().task, first.front().run, RunOutcome::kDone, ""},
+       "done"});
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+  StepInSilence(Milliseconds(10'000));
+  LONGS_EQUAL(0, starts_);
+}
+
 }  // namespace
 }  // namespace bramleyrail
