Dispatch: Count an end that becomes readable later

When the end of a run cannot be read but a later one of the same list can, the leader remembers the later number, and discarded the earlier end once it could be read. The run then counted as not listed, and its task, which was done, started again.

The end of a run that is still tracked now counts whatever its number is.

WorkerContact.EndThatBecomesReadableCounts fails without the change (0 completed runs instead of 1).

--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -178,15 +178,18 @@
 void Dispatcher::HandleFinishedRun(TrackedWorker* worker,
                                    const ReportedFinishedRun& reported,
                                    MonotonicTime now) {
-  if (reported.number <= worker->received_through) {
-    return;
-  }
   const FinishedRun& finished = reported.finished_run;
-  worker->received_through = reported.number;
-  worker->awaiting_durability = true;
-  received_through_[worker->registration().id] = reported.number;
   const RunKey key(finished.task, finished.run);
   const TrackedRun* tracked = worker->FindRun(key);
+  // The end of a run that is still tracked could not be read in the earlier
+  // list that contained it.
+  if (reported.number <= worker->received_through && tracked == nullptr) {
+    return;
+  }
+  worker->received_through =
+      std::max(worker->received_through, reported.number);
+  worker->awaiting_durability = true;
+  received_through_[worker->registration().id] = worker->received_through;
   if (tracked != nullptr && tracked->step != nullptr &&
       tracked->step->best_effort) {
     worker->best_effort_changed = now;
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -207,5 +207,32 @@
   LONGS_EQUAL(0, starts_);
 }
 
+// Fails when the end of a run is discarded because it could not be read in an
+// earlier list, whose later ends were received: a task that is done would run
+// again.
+TEST(WorkerContact, EndThatBecomesReadableCounts) {
+  SubmitOneTask();
+  const auto first = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, first.size());
+  const RunKey run(first.front().task, first.front().run);
+  ListRunning(5'010, {run});
+  LeaseRenewalResponse response{.clock_ms = 5'050};
+  response.complete = false;
+  response.finished.push_back(
+      {2, {{"other", 0, 0, 0}, 1, RunOutcome::kDone, ""}, "done"});
+  now_ += Milliseconds(50);
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  response.complete = true;
+  response.finished.insert(
+      response.finished.begin(),
+      {1, {run.first, run.second, RunOutcome::kDone, ""}, "done"});
+  now_ += Milliseconds(50);
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+  CHECK(Step<StartOrder>(Milliseconds(100)).empty());
+}
+
 }  // namespace
 }  // namespace bramleyrail
