--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -234,5 +234,33 @@
   CHECK(Step<StartOrder>(Milliseconds(100)).empty());
 }
 
+// LOST: fails when a later leader holds a task for a silent worker that has
+// refused to start it.
+TEST(WorkerContact, RefusedStartLeavesNoRecord) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, state_.recorded_runs().size());
+  dispatcher_->HandleStartResponse(Address(), starts.front().task,
+                                   starts.front().run, OrderOutcome::kNoRoom,
+                                   now_);
+  CHECK(Step<StartOrder>(Milliseconds(10)).empty());
+  LONGS_EQUAL(0, state_.recorded_runs().size());
+}
+
+// Fails in the same way for a run that the worker does not list any more.
+TEST(WorkerContact, RunThatIsNotListedLeavesNoRecord) {
+  SubmitOneTask();
+  const auto starts = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, starts.size());
+  ListRunning(5'010, {{starts.front().task, starts.front().run}});
+  registration_.draining = true;  // The task has no other worker.
+  Apply(PutWorker{registration_});
+  now_ += Milliseconds(100);
+  ListRunning(5'110, {});
+  CHECK(Step<StartOrder>(Milliseconds(10)).empty());
+  LONGS_EQUAL(0, state_.recorded_runs().size());
+}
+
 }  // namespace
 }  // namespace bramleyrail
