Dispatch: Record the placements of long-running tasks only

Change: a long-running task may stand still for a few seconds only, and starts seldom, so its placement is recorded before the order, as before.

The tests of recorded starts use long-running tasks.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -181,8 +181,8 @@
   const std::string id = job->id;
   const auto earlier_runs = synchronized_ ? TrackedJob::EarlierRuns::kNone
                             : state.HasUnknownRuns(id)
-                                ? TrackedJob::EarlierRuns::kUnknown
-                                : TrackedJob::EarlierRuns::kKnown;
+                                ? TrackedJob::EarlierRuns::kUnrecorded
+                                : TrackedJob::EarlierRuns::kRecorded;
   auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs);
   if (!synchronized_) {
     TrackRecordedRuns(state, tracked.get());
@@ -335,6 +335,10 @@
              std::chrono::floor<Milliseconds>(now - worker->last_response)
                  .count()}});
   ++counters_.starts;
+  if (!step.long_running) {
+    SendStart(worker, {task, run}, &added, now);
+    return;
+  }
   // The order is sent when the placement is durable. Otherwise a later leader
   // would not know that the worker, if it is silent then, may have the run.
   added.order_in_flight = true;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -47,8 +47,8 @@
     std::vector<FinishedRun> finished_runs;
   };
 
-  // Runs that must be recorded before the workers are ordered to start them,
-  // and runs that have ended without a report.
+  // Long-running runs that must be recorded before the workers are ordered to
+  // start them, and such runs that have ended without a report.
   struct PlacementBatch {
     uint64_t number = 0;
     RecordPlacements command;
@@ -219,7 +219,7 @@
       MonotonicTime now);
   // Returns the worker if the start order of the run may still be sent.
   TrackedWorker* WorkerForStart(const std::string& id, const RunKey& key);
-  // Records that the run has ended without a report.
+  // Records that the run has ended without a report, if it was recorded.
   void RecordEnd(const RunKey& key);
   void SendStart(TrackedWorker* worker,
                  const RunKey& key,
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -23,9 +23,9 @@
 constexpr Milliseconds kMaximumIsolationWait{1'000};
 // A step that waits this long is logged.
 constexpr Milliseconds kFirstWaitReport{1'000};
-// A new leader starts earlier tasks this long after the takeover, or once all
-// workers have responded. The first ones that respond may be far from the data
-// of a task.
+// A new leader starts long-running tasks this long after the takeover, or once
+// all workers have responded. Otherwise the first ones to respond would get all
+// of them.
 constexpr Milliseconds kContactTime{500};
 
 }  // namespace
@@ -54,19 +54,21 @@
     longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
     // A worker that is not contacted yet may run any task that an earlier
     // leader started without a record.
+    const TaskName first{key.job, key.occurrence, key.step, 0};
+    const bool recorded =
+        job->earlier_runs() == TrackedJob::EarlierRuns::kRecorded &&
+        job->step(first).long_running;
     const bool blocked =
         !all_contacted &&
-        (job->earlier_runs() == TrackedJob::EarlierRuns::kUnknown ||
-         (job->earlier_runs() == TrackedJob::EarlierRuns::kKnown &&
-          now - takeover_time_ < kContactTime));
+        job->earlier_runs() != TrackedJob::EarlierRuns::kNone &&
+        (!recorded || now - takeover_time_ < kContactTime);
     if (!blocked) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
         pool->second = WorkerSelector::FindEligible(workers_, pool->first,
                                                     state.evacuated(), now);
       }
-      PlaceStep({key.job, key.occurrence, key.step, 0}, job, pool->second,
-                &pass);
+      PlaceStep(first, job, pool->second, &pass);
     }
   }
 }
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -392,10 +392,12 @@
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = reported.run;
   job->started = true;
-  placements_.push_back(
-      {reported.task,
-       reported.run,
-       {{worker->registration().id, worker->registration().started_unix_ms}}});
+  if (step.long_running) {
+    placements_.push_back({reported.task,
+                           reported.run,
+                           {{worker->registration().id,
+                             worker->registration().started_unix_ms}}});
+  }
   LogEvent(kRunAdopted, {{"task", reported.task.ToString()},
                          {"run", reported.run},
                          {"worker", worker->registration().id}});
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -218,7 +218,9 @@
 }
 
 void Dispatcher::RecordEnd(const RunKey& key) {
-  if (jobs_.contains(key.first.job)) {
+  const TrackedJob* job = FindJob(key.first.job);
+  if (job != nullptr && job->HasTask(key.first) &&
+      job->step(key.first).long_running) {
     placements_.push_back({key.first, key.second, std::nullopt});
   }
 }
--- a/packages/dispatch/tests/one_worker_fixture.h
+++ b/packages/dispatch/tests/one_worker_fixture.h
@@ -66,6 +66,17 @@
     Apply(job);
   }
 
+  void SubmitOneLongRunningTask() {
+    SubmitJob job;
+    job.id = "job";
+    job.queue = "queue";
+    job.pool = "pool";
+    job.maximum_attempts = 4;
+    job.specification = FakePool::Job(1, 1);
+    job.specification.steps[0].long_running = true;
+    Apply(job);
+  }
+
   // A task that leaves no room for another one.
   void SubmitTaskThatFillsTheWorker(const std::string& id) {
     SubmitJob job;
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -73,8 +73,9 @@
 class TrackedJob {
  public:
   // Runs that earlier leaders may have started: none, since this one accepted
-  // the job, runs whose workers are known, or runs on any worker.
-  enum class EarlierRuns { kNone, kKnown, kUnknown };
+  // the job; runs of which the long-running ones are recorded; or unrecorded
+  // ones.
+  enum class EarlierRuns { kNone, kRecorded, kUnrecorded };
 
   TrackedJob(std::shared_ptr<const QueuedJob> job, EarlierRuns earlier_runs);
 
