--- a/packages/dispatch/tests/takeover_test.cc
+++ b/packages/dispatch/tests/takeover_test.cc
@@ -28,7 +28,7 @@
 
 TEST_GROUP(Takeover){};
 
-// LOST: a long-running task stood still although its run had ended, since the
+// LOST: a long-running task stood still although its run had ended, because the
 // new leader waited for one silent worker before it started any earlier task.
 TEST(Takeover, SilentWorkerHoldsOnlyItsOwnTasks) {
   FakePool pool({.workers = 5});
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -20,7 +20,8 @@
 // The first command of a leader. Its outcome carries the new leader epoch.
 struct BeginLeadership {
   std::string instance;
-  // The leader records each start with RecordPlacements before it orders it.
+  // The leader records each start of a long-running task with RecordPlacements
+  // before it orders it.
   bool records_placements = false;
   // The longest lease that the leader grants; 0: unknown.
   int64_t longest_lease_ms = 0;
@@ -86,8 +87,9 @@
   std::vector<FinishedRun> finished_runs;
 };
 
-// Runs that the leader is about to start, and runs that are known to have ended
-// without a report. Has no effect once a later leader has begun.
+// Runs of long-running tasks that the leader is about to start, and those that
+// are known to have ended without a report. Has no effect once a later leader
+// has begun.
 struct RecordPlacements {
   int64_t leader_epoch = 0;
   PlacementList placements;
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -99,7 +99,8 @@
   }
   // Whether the worker was drained and has left.
   bool HasDeparted(const WorkerIncarnation& worker) const;
-  // Whether a leader may have started tasks of the open job without a record.
+  // Whether a leader may have started long-running tasks of the open job
+  // without a record.
   bool HasUnknownRuns(std::string_view job) const {
     return jobs_with_unknown_runs_.contains(job);
   }
--- a/packages/queue/recorded_runs.h
+++ b/packages/queue/recorded_runs.h
@@ -13,8 +13,8 @@
 
 namespace bramleyrail {
 
-// The latest run of each task that a leader has ordered a worker to start, or
-// is about to, as long as its end is not recorded.
+// The latest run of each long-running task that a leader has ordered a worker
+// to start, or is about to, as long as its end is not recorded.
 class RecordedRuns {
  public:
   struct Run {
