Http: Look for unexpected input without a system call

The leader of the large fleet writes thousands of calls a second to kept connections, and its processor binds there.

The client now looks only at what it has read already. A second response that arrives with the first one is still found (AsyncHttp.SecondResponseToACallIsNotThatOfTheNextOne).

--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -79,12 +79,9 @@
     return poll(&descriptor, 1, 0) > 0;
   }
 
-  // Whether the server has closed the connection while no call used it, or has
-  // sent something that belongs to no call.
-  bool HasUnexpectedInput() {
-    pollfd descriptor{socket.native_handle(), POLLIN, 0};
-    return buffer.size() > 0 || poll(&descriptor, 1, 0) > 0;
-  }
+  // Whether the server has sent more than the response to the last call. A look
+  // at the socket would show more, but is a system call for each order.
+  bool HasUnexpectedInput() const { return buffer.size() > 0; }
 
   // Read and written without waiting, never by operations of the loop: those
   // could hold a part of a response when the deadline is looked at.
