Scripts: Send the quickstart's order again while its outcome is unknown

A split vote is a normal course of an election, and the answer says what the caller has to do: send the request again with the same id. The script asked once and took the answer for a fault.

It now does what the answer says, three times at most, and only for that answer. That the order gets its first answer and has run once is checked as before.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -123,6 +123,21 @@
   printf '\n'
 }
 
+# The same while a leader may be missing: as callers are told to, sends the request again
+# with its id as long as its outcome is unknown, at most three times.
+send_request_until_known() {
+  local attempt answer
+  for attempt in 1 2 3; do
+    answer=$(send_request "$@") && break
+    if [ "$attempt" = 3 ] || ! grep -q '"kind":"outcome_unknown"' <<<"$answer"; then
+      printf '%s\n' "$answer"
+      fail "request $2 failed"
+    fi
+    echo "the outcome of request $2 is unknown; sending it again"
+  done
+  printf '%s\n\n' "$answer"
+}
+
 check_executions_once() {
   local count
   count=$(cat "$run_folder"/target-*.executions | grep -c -- "$1" || true)
