--- a/packages/queue/recorded_runs.cc
+++ b/packages/queue/recorded_runs.cc
@@ -65,9 +65,9 @@
 }
 
 const RecordedRuns::JobRuns& RecordedRuns::OfJob(std::string_view job) const {
-  static const auto* const kNone = new JobRuns();
+  static const auto* const none = new JobRuns();
   const auto found = jobs_.find(job);
-  return found == jobs_.end() ? *kNone : found->second;
+  return found == jobs_.end() ? *none : found->second;
 }
 
 std::vector<RunPlacement> RecordedRuns::List() const {
--- a/packages/queue/tests/recorded_runs_test.cc
+++ b/packages/queue/tests/recorded_runs_test.cc
@@ -9,8 +9,8 @@
 namespace bramleyrail {
 namespace {
 
-const WorkerIncarnation kFirst{"first", 1};
-const WorkerIncarnation kSecond{"second", 2};
+const WorkerIncarnation first_worker{"first", 1};
+const WorkerIncarnation second_worker{"second", 2};
 
 QueueOutcome Apply(QueueState* state, QueueCommandBody body) {
   // Encodes and decodes the command, as the log does.
@@ -67,12 +67,12 @@
 // Fails when a leader does not learn on which workers its predecessor's runs
 // may be, or waits for one whose end is recorded.
 TEST(RecordedRuns, RunIsKnownUntilItsEndIsRecorded) {
-  Record({Placement(0, 1, kFirst), Placement(1, 1, kSecond)});
+  Record({Placement(0, 1, first_worker), Placement(1, 1, second_worker)});
   CheckWorkerOf(0, "first");
   CheckWorkerOf(1, "second");
   Finish(0, 1, RunOutcome::kInterrupted);
   LONGS_EQUAL(1, Count());
-  Record({Placement(0, 2, kSecond)});
+  Record({Placement(0, 2, second_worker)});
   CheckWorkerOf(0, "second");
   Finish(0, 2, RunOutcome::kCrashSuspected);
   LONGS_EQUAL(2, Count());
@@ -85,8 +85,8 @@
 // A leader repeats a record whose outcome it does not know. Fails when the
 // repeated one hides the worker of a later run.
 TEST(RecordedRuns, RepeatedRecordChangesNoLaterRun) {
-  Record({Placement(0, 2, kSecond)});
-  Record({Placement(0, 1, kFirst)});
+  Record({Placement(0, 2, second_worker)});
+  Record({Placement(0, 1, first_worker)});
   CheckWorkerOf(0, "second");
   Record({Placement(0, 1, std::nullopt)});
   CheckWorkerOf(0, "second");
@@ -98,9 +98,9 @@
 // read the records.
 TEST(RecordedRuns, EarlierLeaderCannotRecord) {
   BeginLeader();
-  CHECK(!Record({Placement(0, 1, kFirst)}, 1).found);
+  CHECK(!Record({Placement(0, 1, first_worker)}, 1).found);
   LONGS_EQUAL(0, Count());
-  CHECK(Record({Placement(0, 10'001, kFirst)}, 2).found);
+  CHECK(Record({Placement(0, 10'001, first_worker)}, 2).found);
 }
 
 // Fails when a leader takes the records of a predecessor that wrote none for
@@ -131,7 +131,7 @@
 
 // Fails when a restored leader does not know the runs of its predecessor.
 TEST(RecordedRuns, SnapshotKeepsThem) {
-  Record({Placement(0, 1, kFirst), Placement(1, 3, kSecond)});
+  Record({Placement(0, 1, first_worker), Placement(1, 3, second_worker)});
   const auto restored = QueueState::FromSnapshot(state_.EncodeSnapshot());
   CHECK(restored.has_value());
   CHECK(restored.value()->recorded_runs().List() ==
@@ -156,13 +156,13 @@
 
 // Fails when damaged records are read as if they were none.
 TEST(RecordedRuns, DamagedRecordsAreRefused) {
-  Record({Placement(0, 1, kFirst)});
+  Record({Placement(0, 1, first_worker)});
   auto json = codec::FromCbor(state_.EncodeSnapshot()).value();
   Json& list = json[json.size() - 2];
   list[0] = Json::array();  // The workers to which the records refer.
   CHECK(QueueState::FromSnapshot(codec::ToCbor(json)).has_error());
 
-  PlacementList uneven = MakePlacementList({Placement(0, 2, kSecond)});
+  PlacementList uneven = MakePlacementList({Placement(0, 2, second_worker)});
   uneven.steps[0].runs.clear();
   CHECK(!Apply(&state_, RecordPlacements{1, uneven}).found);
   CheckWorkerOf(0, "first");
