Dispatch: Acknowledge no end of a list that a new leader cannot read whole

A new leader handled the readable ends of an incomplete list and took their numbers for received. When the unreadable end before them became readable, it was dropped, and the done task ran again.

These ends now count without being taken for received, and are handled again with the whole list; handling an end twice changes nothing.

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -369,9 +369,15 @@
   // read count nevertheless: a task that is done must not start again.
   if (outcome == OrderOutcome::kAccepted && !response.complete &&
       !worker->contacted) {
+    // They are not acknowledged, and are handled again when the whole list can
+    // be read: an end before them may be the unreadable one.
+    const int64_t received_through = worker->received_through;
     for (const ReportedFinishedRun& reported : response.finished) {
       HandleFinishedRun(worker, reported, now);
     }
+    worker->received_through = received_through;
+    worker->awaiting_durability = false;
+    received_through_.erase(address.id);
     outcome = OrderOutcome::kUnknown;
   }
   due_workers_.push_back(address.id);
