--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -180,7 +180,7 @@
                           std::shared_ptr<const QueuedJob> job) {
   const std::string id = job->id;
   const auto earlier_runs = synchronized_ ? TrackedJob::EarlierRuns::kNone
-                            : state.HasUnknownRuns(id)
+                            : state.HasUnrecordedRuns(id)
                                 ? TrackedJob::EarlierRuns::kUnrecorded
                                 : TrackedJob::EarlierRuns::kRecorded;
   auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs);
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -50,8 +50,8 @@
   }
   snapshot.leader_records_placements = leader_records_placements_;
   snapshot.longest_lease_ms = longest_lease_ms_;
-  snapshot.jobs_with_unknown_runs.assign(jobs_with_unknown_runs_.begin(),
-                                         jobs_with_unknown_runs_.end());
+  snapshot.jobs_with_unrecorded_runs.assign(jobs_with_unrecorded_runs_.begin(),
+                                            jobs_with_unrecorded_runs_.end());
   snapshot.recorded_runs = MakePlacementList(recorded_runs_.List());
   snapshot.restarted_workers.assign(restarted_workers_.begin(),
                                     restarted_workers_.end());
@@ -89,8 +89,9 @@
   }
   state->leader_records_placements_ = snapshot.leader_records_placements;
   state->longest_lease_ms_ = snapshot.longest_lease_ms;
-  state->jobs_with_unknown_runs_.insert(snapshot.jobs_with_unknown_runs.begin(),
-                                        snapshot.jobs_with_unknown_runs.end());
+  state->jobs_with_unrecorded_runs_.insert(
+      snapshot.jobs_with_unrecorded_runs.begin(),
+      snapshot.jobs_with_unrecorded_runs.end());
   state->restarted_workers_.insert(snapshot.restarted_workers.begin(),
                                    snapshot.restarted_workers.end());
   const auto recorded_runs = PlacementsOf(snapshot.recorded_runs);
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -43,7 +43,7 @@
   // Missing in a snapshot of a version that records no placements.
   bool leader_records_placements = false;
   int64_t longest_lease_ms = 0;
-  std::vector<std::string> jobs_with_unknown_runs;
+  std::vector<std::string> jobs_with_unrecorded_runs;
   PlacementList recorded_runs;
   std::vector<std::string> restarted_workers;
 };
@@ -169,7 +169,7 @@
   return std::tie(v.version, v.leader_epoch, v.configuration, v.evacuated,
                   v.workers, v.jobs, v.waves, v.departed_workers,
                   v.leader_records_placements, v.longest_lease_ms,
-                  v.jobs_with_unknown_runs, v.recorded_runs,
+                  v.jobs_with_unrecorded_runs, v.recorded_runs,
                   v.restarted_workers);
 }
 
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -90,7 +90,7 @@
   if (!first && !leader_records_placements_) {
     for (const auto& [id, job] : jobs_) {
       if (job->outcome == JobOutcome::kOpen) {
-        jobs_with_unknown_runs_.insert(id);
+        jobs_with_unrecorded_runs_.insert(id);
       }
     }
   }
@@ -303,7 +303,7 @@
   job->progress.clear();
   job->specification.payload.clear();
   recorded_runs_.EraseJob(job->id);
-  jobs_with_unknown_runs_.erase(job->id);
+  jobs_with_unrecorded_runs_.erase(job->id);
   RecordJobChange(job->id);
 }
 
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -101,8 +101,8 @@
   bool HasDeparted(const WorkerIncarnation& worker) const;
   // Whether a leader may have started long-running tasks of the open job
   // without a record.
-  bool HasUnknownRuns(std::string_view job) const {
-    return jobs_with_unknown_runs_.contains(job);
+  bool HasUnrecordedRuns(std::string_view job) const {
+    return jobs_with_unrecorded_runs_.contains(job);
   }
 
   std::vector<std::byte> EncodeSnapshot() const;
@@ -134,7 +134,7 @@
   bool leader_records_placements_ = false;
   int64_t longest_lease_ms_ = 0;  // See BeginLeadership; 0: unknown.
   RecordedRuns recorded_runs_;
-  std::set<std::string, std::less<>> jobs_with_unknown_runs_;
+  std::set<std::string, std::less<>> jobs_with_unrecorded_runs_;
   QueueConfiguration configuration_;
   std::set<std::string> evacuated_;
   std::map<std::string, WorkerRegistration> workers_;
--- a/packages/queue/tests/recorded_runs_test.cc
+++ b/packages/queue/tests/recorded_runs_test.cc
@@ -107,15 +107,15 @@
 // complete, or when the jobs of one that wrote them count as unknown.
 TEST(RecordedRuns, JobsOfALeaderWithoutRecordsAreUnknown) {
   BeginLeader();
-  CHECK(!state_.HasUnknownRuns("job"));
+  CHECK(!state_.HasUnrecordedRuns("job"));
   BeginLeader(/*records=*/false);
-  CHECK(!state_.HasUnknownRuns("job"));
+  CHECK(!state_.HasUnrecordedRuns("job"));
   BeginLeader();
-  CHECK(state_.HasUnknownRuns("job"));
+  CHECK(state_.HasUnrecordedRuns("job"));
   BeginLeader();
-  CHECK(state_.HasUnknownRuns("job"));
+  CHECK(state_.HasUnrecordedRuns("job"));
   Apply(&state_, CancelQueuedJob{"job"});
-  CHECK(!state_.HasUnknownRuns("job"));
+  CHECK(!state_.HasUnrecordedRuns("job"));
 }
 
 // Fails when a leader waits for less than a predecessor could grant.
@@ -150,7 +150,7 @@
   const auto restored = QueueState::FromSnapshot(codec::ToCbor(json));
   CHECK(restored.has_value());
   Apply(restored.value().get(), BeginLeadership{"leader", true, 5'000});
-  CHECK(restored.value()->HasUnknownRuns("job"));
+  CHECK(restored.value()->HasUnrecordedRuns("job"));
   CHECK(!restored.value()->longest_lease_ms().has_value());
 }
 
