Dispatch: Name the tasks that a takeover holds in its log line

For one task that stood still, no line said that a takeover held it: earlier_runs_held named one task of each worker, and none for a worker without recorded runs, for which the other tasks wait.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -217,8 +217,8 @@
   void SendStartsOfBatch(
       const std::vector<std::pair<std::string, RunKey>>& runs,
       MonotonicTime now);
-  // Returns the worker if the start order of the run may still be sent.
-  TrackedWorker* WorkerForStart(const std::string& id, const RunKey& key);
+  // Whether the start of a recorded run may still be ordered from its worker.
+  bool MayOrderStart(const std::string& worker_id, const RunKey& key) const;
   // Records that the run has ended without a report, if it was recorded.
   void RecordEnd(const RunKey& key);
   void SendStart(TrackedWorker* worker,
@@ -285,7 +285,7 @@
   void ObserveLag(MonotonicTime now);
   bool HasLaggedSince(MonotonicTime time, MonotonicTime now) const;
   bool AllWorkersContacted(MonotonicTime now);
-  // Logs once which workers may still run tasks of earlier leaders.
+  // Logs once which workers have not responded and may have earlier runs.
   void ReportHeldRuns(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
   MonotonicTime EndOfEarlierLeases() const;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -168,6 +168,7 @@
   ++step->wait_reports;
   LogEvent(kStepWaits, {{"task", task.ToString()},
                         {"waited_ms", waited.count()},
+                        {"ready_tasks", step->ready_tasks.size()},
                         {"late_ms", unix_ms_ - job.LatestStartUnixMs(task)},
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -2,9 +2,12 @@
 // the runs of this one.
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "packages/dispatch/dispatch_events.h"
 #include "packages/dispatch/dispatcher.h"
 
@@ -21,6 +24,20 @@
 constexpr Milliseconds kInheritedLeaseMargin{1'600};
 // Workers that have not responded this long after the takeover are logged.
 constexpr Milliseconds kHeldRunsReport{1'000};
+// Bounds the length of a log line.
+constexpr size_t kMaximumLoggedTasks = 50;
+
+std::string NamesOfTasks(const std::map<RunKey, TrackedRun>& runs) {
+  std::string names;
+  size_t count = 0;
+  for (const auto& [key, run] : runs) {
+    if (++count > kMaximumLoggedTasks) {
+      break;
+    }
+    absl::StrAppend(&names, names.empty() ? "" : ",", key.first.ToString());
+  }
+  return names;
+}
 
 }  // namespace
 
@@ -62,7 +79,7 @@
     return;
   }
   for (const auto& [id, worker] : workers_) {
-    if (worker->earlier_runs_resolved() || worker->runs().empty()) {
+    if (worker->earlier_runs_resolved()) {
       continue;
     }
     const MonotonicTime until =
@@ -71,7 +88,7 @@
     LogEvent(kEarlierRunsHeld,
              {{"worker", id},
               {"runs", worker->runs().size()},
-              {"task", worker->runs().begin()->first.first.ToString()},
+              {"tasks", NamesOfTasks(worker->runs())},
               {"lease_left_ms",
                std::chrono::ceil<Milliseconds>(until - now).count()}});
   }
@@ -180,7 +197,7 @@
   for (const auto& [worker, key] : runs) {
     TrackedJob* job = FindJob(key.first.job);
     if (job != nullptr && job->step(key.first).gang &&
-        WorkerForStart(worker, key) == nullptr) {
+        !MayOrderStart(worker, key)) {
       incomplete_gangs.insert(gang_of(key));
     }
   }
@@ -193,7 +210,7 @@
         run->orders_sent > 0) {
       continue;
     }
-    if (WorkerForStart(worker_id, key) == nullptr ||
+    if (!MayOrderStart(worker_id, key) ||
         incomplete_gangs.contains(gang_of(key))) {
       worker->second->RemoveRun(key);
       RecordEnd(key);
@@ -204,17 +221,16 @@
   }
 }
 
-TrackedWorker* Dispatcher::WorkerForStart(const std::string& id,
-                                          const RunKey& key) {
-  const auto found = workers_.find(id);
-  if (found == workers_.end() || found->second->FindRun(key) == nullptr) {
-    return nullptr;
+bool Dispatcher::MayOrderStart(const std::string& worker_id,
+                               const RunKey& key) const {
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end() || !found->second->runs().contains(key)) {
+    return false;
   }
-  TrackedWorker* worker = found->second.get();
+  const TrackedWorker& worker = *found->second;
   // After a failed renewal, a later incarnation might execute the order.
-  const bool usable = worker->failed_renewals == 0 && !worker->deregistered &&
-                      !worker->registration().draining;
-  return usable ? worker : nullptr;
+  return worker.failed_renewals == 0 && !worker.deregistered &&
+         !worker.registration().draining;
 }
 
 void Dispatcher::RecordEnd(const RunKey& key) {
