Dispatch: Show that each regression test fails without its rule

RunOfARestartedWorkerWaitsForTheLongestLease did not fail: its calls took 1 s, which hid the difference of 1 s. They take 20 ms now, and it fails. The ends that a new leader reads in an incomplete list had a property only; a test of its own, EndBeforeThoseThatANewLeaderCouldReadCounts, fails without.

--- a/packages/dispatch/tests/recorded_start_test.cc
+++ b/packages/dispatch/tests/recorded_start_test.cc
@@ -110,10 +110,11 @@
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
   dispatcher_->Synchronize(state_, now_);
   AddOtherWorker();
-  // The longest lease and the margin for orders on their way: 7,720 ms.
-  StepInSilence(Milliseconds(7'700));
+  // The longest lease and the margin for orders on their way: 7,720 ms. Calls
+  // that end early show the silence 0.1 s after that.
+  StepInSilence(Milliseconds(7'700), OrderOutcome::kUnknown, Milliseconds(20));
   LONGS_EQUAL(0, starts_);
-  StepInSilence(Milliseconds(1'300));
+  StepInSilence(Milliseconds(300), OrderOutcome::kUnknown, Milliseconds(20));
   LONGS_EQUAL(1, starts_);
 }
 
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -234,6 +234,36 @@
   CHECK(Step<StartOrder>(Milliseconds(100)).empty());
 }
 
+// Fails when a new leader takes the readable ends of an incomplete list for
+// received: an unreadable one before them was dropped later, or discarded by
+// the worker, and its done task ran again.
+TEST(WorkerContact, EndBeforeThoseThatANewLeaderCouldReadCounts) {
+  SubmitOneTask();
+  const auto first = Step<StartOrder>(Milliseconds(10));
+  LONGS_EQUAL(1, first.size());
+  dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
+  dispatcher_->Synchronize(state_, now_);
+  Step<LeaseRenewalOrder>(Milliseconds(0));
+  LeaseRenewalResponse response{.clock_ms = 5'000};
+  response.complete = false;
+  response.finished.push_back(
+      {2, {{"other", 0, 0, 0}, 1, RunOutcome::kDone, ""}, "done"});
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
+  LONGS_EQUAL(0, StepToRenewal(Milliseconds(300)).acknowledged_through);
+  response.complete = true;
+  response.finished.insert(
+      response.finished.begin(),
+      {1,
+       {first.front().task, first.front().run, RunOutcome::kDone, ""},
+       "done"});
+  dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
+                                          response, now_, now_);
+  LONGS_EQUAL(1, dispatcher_->counters().runs_completed);
+  CHECK(Step<StartOrder>(Milliseconds(1'000)).empty());
+}
+
 // LOST: fails when a later leader holds a task for a silent worker that has
 // refused to start it.
 TEST(WorkerContact, RefusedStartLeavesNoRecord) {
