Replication: Return to the quorum when the disk works again

No job was accepted or answered, and the configuration could not be read, although all disks took bytes again.

Cause: a replica whose write had failed was an observer for the rest of the life of its process. The second one ended the quorum.

Change: the instance keeps its id, term, vote and log in memory, follows as an observer, tries the disk each second, and returns under its id when everything is written and synced in new files. Formatting is tried again.

Why it works: the memory of the process holds all that it has promised, and nothing is promised under the id until it is in files that were synced after the failure.

--- a/packages/consensus/consensus_message.h
+++ b/packages/consensus/consensus_message.h
@@ -38,7 +38,8 @@
   ReplicaId to;
   Term term = 0;
 
-  // Index and term of an entry. Vote requests: the candidate's last entry.
+  // Index and term of an entry. Vote requests and responses: the sender's last
+  // entry.
   // Append request: the entry before `entries`. Append response (index only):
   // the last matching entry or, when rejected, the last entry that may match.
   // Snapshot messages: the last entry of the snapshot. Freshness response
--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -250,6 +250,31 @@
   join_sent_at_ = std::nullopt;
 }
 
+void ReplicaCore::BecomeReplica(const ReplicaId& id) {
+  BRAMLEYRAIL_ASSERT(kind_ == Kind::kObserver,
+                     "only an observer can become a replica");
+  id_ = id;
+  kind_ = Kind::kReplica;
+  incoming_snapshot_ = nullptr;
+  output_.messages.clear();
+  output_.messages_after_sync.clear();
+  hard_state_changed_ = false;
+  persisted_index_ = log_.last_index();
+  unsynced_from_ = log_.last_index() + 1;
+  join_sent_at_ = std::nullopt;
+  // As after a restart, this replica does not vote until the lease of a leader
+  // that may have counted on it has expired.
+  leader_contact_ = now_;
+  ResetElectionTimer();
+}
+
+std::optional<Milliseconds> ReplicaCore::TimeWithoutLeader() const {
+  if (role_ == ReplicaRole::kLeader) {
+    return std::nullopt;
+  }
+  return std::chrono::floor<Milliseconds>(now_ - leader_contact_);
+}
+
 Configuration ReplicaCore::ConfigurationAt(LogIndex index) const {
   const Configuration* found = &configurations_.front().second;
   for (const auto& [start, configuration] : configurations_) {
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -38,6 +38,20 @@
 
 std::string_view ReplicaRoleName(ReplicaRole role);
 
+// A voter that refused its vote, and the last entry of its log.
+struct VoteRefusal {
+  ReplicaId voter;
+  Term log_term = 0;
+  LogIndex last_index = 0;
+};
+
+struct ElectionAnswers {
+  std::vector<ReplicaId> granted;
+  std::vector<VoteRefusal> refused;
+  // Also voters that heard from a leader recently, which do not answer.
+  std::vector<ReplicaId> missing;
+};
+
 // One replica of the log (Raft with pre-vote, check-quorum and a leader lease).
 // Performs no I/O: the driver passes in time, messages and proposals, and
 // TakeOutput() returns what to send, sync and apply. Not thread-safe.
@@ -126,8 +140,12 @@
   // Allows campaigns: every initial voter has formatted its data folder.
   void AllowCampaign() { may_campaign_ = true; }
   // Continues as an observer under a new id, without a vote, after the disk
-  // failed.
+  // failed. The term, the vote and the log are kept.
   void BecomeObserver(uint64_t generation);
+  // Continues as the replica with this id after the driver has stored the hard
+  // state, the whole log and a snapshot of the applied entries. Only the id
+  // that the replica had before BecomeObserver() or one that is new is allowed.
+  void BecomeReplica(const ReplicaId& id);
 
   const ReplicaId& id() const { return id_; }
   Kind kind() const { return kind_; }
@@ -135,12 +153,25 @@
   const std::optional<ReplicaId>& leader() const { return leader_; }
   const HardState& hard_state() const { return hard_state_; }
   Term term() const { return hard_state_.term; }
+  // Time since the last message of a leader, or since the start without any.
+  // nullopt while this replica leads.
+  std::optional<Milliseconds> TimeWithoutLeader() const;
+  // Whether this replica may start an election: it is a voter, and the cluster
+  // has formed.
+  bool MayCampaign() const;
+  // Answers of the voters in the last election that this replica started and
+  // did not win; empty when there is none.
+  const ElectionAnswers& last_election_answers() const {
+    return last_election_answers_;
+  }
   LogIndex commit_index() const { return commit_index_; }
   LogIndex applied_index() const { return applied_index_; }
   LogIndex last_index() const { return log_.last_index(); }
   const Configuration& configuration() const {
     return configurations_.back().second;
   }
+  // Index of the entry of that configuration; 0: the initial one.
+  LogIndex configuration_index() const { return configurations_.back().first; }
   Configuration ConfigurationAt(LogIndex index) const;
   std::optional<Term> TermAt(LogIndex index) const;
   std::vector<LogEntry> EntriesBetween(LogIndex first, LogIndex last) const;
@@ -181,8 +212,8 @@
   void HandleVoteRequest(const ConsensusMessage& message);
   bool HasRecentLeaderContact() const;
   bool IsCandidateLogUpToDate(const ConsensusMessage& message) const;
-  bool MayCampaign() const;
   bool HasQuorumOfVotes() const;
+  void RecordElectionAnswers();
 
   // replica_core_leader.cc
   void TickLeader();
@@ -248,6 +279,8 @@
   MonotonicTime election_timer_started_at_;
   Milliseconds election_timeout_{0};
   std::set<ReplicaId> votes_;
+  std::vector<VoteRefusal> refusals_;
+  ElectionAnswers last_election_answers_;
 
   std::map<ReplicaId, FollowerProgress> progress_;
   // Times of the last contact with each observer and of the last join request
--- a/packages/consensus/replica_core_election.cc
+++ b/packages/consensus/replica_core_election.cc
@@ -1,5 +1,8 @@
 // ReplicaCore: elections with pre-votes and votes, and changes of the role.
 
+#include <algorithm>
+#include <utility>
+
 #include "packages/consensus/replica_core.h"
 
 namespace bramleyrail {
@@ -55,10 +58,31 @@
   return message.index >= log_.last_index();
 }
 
+void ReplicaCore::RecordElectionAnswers() {
+  if (role_ != ReplicaRole::kPreCandidate && role_ != ReplicaRole::kCandidate) {
+    return;
+  }
+  ElectionAnswers answers;
+  answers.refused = refusals_;
+  for (const ReplicaId& voter : configuration().voters) {
+    const bool refused = std::any_of(
+        refusals_.begin(), refusals_.end(),
+        [&voter](const VoteRefusal& item) { return item.voter == voter; });
+    if (votes_.contains(voter)) {
+      answers.granted.push_back(voter);
+    } else if (!refused) {
+      answers.missing.push_back(voter);
+    }
+  }
+  last_election_answers_ = std::move(answers);
+}
+
 void ReplicaCore::StartPreVote() {
+  RecordElectionAnswers();
   role_ = ReplicaRole::kPreCandidate;
   leader_ = std::nullopt;
   votes_ = {id_};
+  refusals_.clear();
   ResetElectionTimer();
   if (HasQuorumOfVotes()) {
     StartCampaign(/*transfer=*/false);
@@ -82,6 +106,7 @@
   hard_state_ = {term() + 1, id_};
   hard_state_changed_ = true;
   votes_ = {id_};
+  refusals_.clear();
   ResetElectionTimer();
   for (const ReplicaId& voter : configuration().voters) {
     if (voter == id_) {
@@ -126,6 +151,8 @@
       pre_vote ? MessageType::kPreVoteResponse : MessageType::kVoteResponse,
       message.from);
   response.rejected = !granted;
+  response.index = log_.last_index();
+  response.log_term = log_.last_term();
   // A granted pre-vote contains the term that was asked for; a rejected one
   // contains the term of this replica, so that a candidate with an older term
   // catches up.
@@ -145,7 +172,11 @@
 
 void ReplicaCore::HandleVoteResponse(const ConsensusMessage& message) {
   const bool pre_vote = message.type == MessageType::kPreVoteResponse;
+  if (message.rejected) {
+    refusals_.push_back({message.from, message.log_term, message.index});
+  }
   if (message.rejected && message.term > term()) {
+    RecordElectionAnswers();
     BecomeFollower(message.term, std::nullopt);
     return;
   }
@@ -173,6 +204,7 @@
   role_ = ReplicaRole::kLeader;
   leader_ = id_;
   votes_.clear();
+  last_election_answers_ = {};
   progress_.clear();
   became_leader_at_ = now_;
   heartbeat_sent_at_ = MonotonicTime::min();
--- a/packages/replication/replica_driver.cc
+++ b/packages/replication/replica_driver.cc
@@ -8,10 +8,6 @@
 
 namespace {
 
-constexpr size_t kSnapshotIntervalBytes = size_t{8} * 1024 * 1024;
-// Pause after a snapshot for which no file could be opened. The log grows on.
-constexpr Milliseconds kSnapshotRetryPause{2'000};
-
 Formation::Options FormationOptions(const ReplicaOptions& options) {
   return {options.instance_name, options.initial_voters,
           options.unique_number()};
@@ -84,6 +80,7 @@
 
 void ReplicaDriver::Start(MonotonicTime now) {
   now_ = now;
+  started_at_ = now;
   if (recovered_.truncated_bytes > 0) {
     LogEvent(kTornTailTruncated, {{"bytes", recovered_.truncated_bytes}});
   }
@@ -102,6 +99,7 @@
     snapshot_index_ = recovered_.snapshot->index;
   }
   options.id = recovered_.identity->id;
+  stored_id_ = options.id;
   options.initial_configuration = recovered_.identity->initial_configuration;
   options.hard_state = std::move(recovered_.hard_state);
   options.snapshot = std::move(recovered_.snapshot);
@@ -146,6 +144,9 @@
 }
 
 void ReplicaDriver::FormatFolder(Formation::Decision decision) {
+  if (storage_fault_ && now_ < next_storage_attempt_) {
+    return;
+  }
   ReplicaIdentity identity;
   identity.id = {options_.instance_name, NewGeneration()};
   if (decision == Formation::Decision::kForm) {
@@ -162,16 +163,25 @@
     return;  // The next step decides again.
   }
   if (formatted.has_error()) {
+    StopStorage(formatted.error());
+    if (decision == Formation::Decision::kForm) {
+      // No other voter campaigns without this one, so there is nothing to
+      // follow yet. A later step decides again.
+      return;
+    }
     options.id.generation = NewGeneration();
-    options.initial_configuration = {};
     options.kind = ReplicaCore::Kind::kObserver;
-    StopStorage(formatted.error());
-  } else {
-    LogEvent(kFolderFormatted,
-             {{"replica", identity.id.ToString()},
-              {"forms_cluster", decision == Formation::Decision::kForm}});
+    CreateCore(std::move(options));
+    return;
   }
+  stored_id_ = identity.id;
+  LogEvent(kFolderFormatted,
+           {{"replica", identity.id.ToString()},
+            {"forms_cluster", decision == Formation::Decision::kForm}});
   CreateCore(std::move(options));
+  if (storage_fault_) {
+    HandleStorageResumed();
+  }
 }
 
 void ReplicaDriver::Step(MonotonicTime now, Input input) {
@@ -197,6 +207,7 @@
     tracker_.Submit(std::move(proposal));
   }
   tracker_.Step(core_.get(), now_);
+  ReportMissingLeader();
   if (!core_) {
     return;
   }
@@ -206,6 +217,7 @@
   }
   Flush();
   SaveSnapshotIfDue();
+  ResumeStorageIfDue();
   LogChanges();
 }
 
@@ -288,48 +300,6 @@
   }
 }
 
-void ReplicaDriver::SaveSnapshotIfDue() {
-  const LogIndex index = core_->applied_index();
-  const bool due = index - snapshot_index_ >= options_.snapshot_entries ||
-                   bytes_since_snapshot_ >= kSnapshotIntervalBytes;
-  if (!due || now_ < next_snapshot_ || deferred_output_) {
-    return;
-  }
-  const bool observer = core_->kind() == ReplicaCore::Kind::kObserver;
-  auto snapshot = std::make_shared<Snapshot>();
-  snapshot->index = index;
-  snapshot->term = *core_->TermAt(index);
-  snapshot->configuration = core_->ConfigurationAt(index);
-  if (!observer) {
-    snapshot->data = options_.snapshot();
-    const Result<void> result = store_->SaveSnapshot(
-        *snapshot, core_->EntriesBetween(index + 1, core_->last_index()));
-    if (IsRepeatable(result)) {
-      next_snapshot_ = now_ + kSnapshotRetryPause;
-      LogEvent(kStorageDeferred, {{"error", result.error().ToString()}});
-      return;
-    }
-    if (result.has_error()) {
-      StopStorage(result.error());
-    } else {
-      LogEvent(kSnapshotSaved,
-               {{"index", index}, {"bytes", snapshot->data.size()}});
-    }
-  }
-  snapshot_index_ = index;
-  bytes_since_snapshot_ = 0;
-  // An observer never sends its snapshot, so the snapshot's data stays empty.
-  core_->Compact(std::move(snapshot));
-}
-
-void ReplicaDriver::StopStorage(const Error& fault) {
-  storage_fault_ = fault;
-  LogEvent(kStorageStopped, {{"error", fault.ToString()}});
-  if (core_) {
-    core_->BecomeObserver(NewGeneration());
-  }
-}
-
 ReplicaStatus ReplicaDriver::Status() const {
   ReplicaStatus status;
   status.storage_fault = storage_fault_;
--- a/packages/replication/replica_driver.h
+++ b/packages/replication/replica_driver.h
@@ -68,18 +68,38 @@
   // Persists and applies the output that an earlier step could not.
   bool FinishDeferredOutput();
   void Apply(const ReplicaCore::Output& output);
+  void LogChanges();
+  // Logs once in a while why there is no leader, as far as this instance knows.
+  void ReportMissingLeader();
+  std::string_view MissingLeaderReason() const;
+
+  // replica_driver_storage.cc
   void SaveSnapshotIfDue();
+  // A snapshot of the applied entries, without the data of the state.
+  std::shared_ptr<Snapshot> MakeSnapshot() const;
+  void HandleSnapshotSaved(SnapshotPointer snapshot);
   void StopStorage(const Error& fault);
-  void LogChanges();
+  // Makes an instance whose disk failed a replica again once the disk takes the
+  // whole state.
+  void ResumeStorageIfDue();
+  Result<void> RewriteStore();
+  void HandleStorageResumed();
 
   ReplicaOptions options_;
   std::unique_ptr<ReplicaStore> store_;  // Null for an observer.
   std::optional<Error> storage_fault_;
+  MonotonicTime storage_stopped_at_;
+  MonotonicTime next_storage_attempt_;
+  // Id of the replica in the folder; nullopt until the folder is formatted. An
+  // instance whose storage has stopped returns under this id: its memory holds
+  // whatever it has acknowledged.
+  std::optional<ReplicaId> stored_id_;
   RecoveredState recovered_;
   Formation formation_;
   ProposalTracker tracker_;
   std::unique_ptr<ReplicaCore> core_;  // Null until the folder is formatted.
   MonotonicTime now_;
+  MonotonicTime started_at_;
 
   // Output that could not be persisted, because a file could not be opened.
   // The core takes no input until it is.
@@ -91,6 +111,8 @@
   ReplicaRole logged_role_ = ReplicaRole::kFollower;
   std::optional<ReplicaId> logged_leader_;
   Configuration logged_configuration_;
+  // Silence of the leaders after which the missing leader is logged next.
+  Milliseconds next_leader_report_{0};
 };
 
 }  // namespace bramleyrail
--- a/packages/replication/replica_driver_messages.cc
+++ b/packages/replication/replica_driver_messages.cc
@@ -1,6 +1,10 @@
 // Handling of messages from and to other instances, and log events for the
 // changes of role and membership.
 
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
 #include "packages/replication/replica_driver.h"
 #include "packages/replication/replication_events.h"
 
@@ -17,6 +21,18 @@
   return text;
 }
 
+// An election takes up to 2 s.
+constexpr Milliseconds kFirstLeaderReport{3'000};
+
+std::string JoinRefusals(const std::vector<VoteRefusal>& refusals) {
+  std::string text;
+  for (const VoteRefusal& refusal : refusals) {
+    absl::StrAppend(&text, text.empty() ? "" : ",", refusal.voter.ToString(),
+                    "@", refusal.log_term, "/", refusal.last_index);
+  }
+  return text;
+}
+
 }  // namespace
 
 void ReplicaDriver::ReceiveMessage(const std::string& peer,
@@ -117,4 +133,67 @@
   }
 }
 
+void ReplicaDriver::ReportMissingLeader() {
+  const std::optional<Milliseconds> silence =
+      core_ ? core_->TimeWithoutLeader()
+            : std::chrono::floor<Milliseconds>(now_ - started_at_);
+  if (!silence || *silence < kFirstLeaderReport) {
+    next_leader_report_ = kFirstLeaderReport;
+    return;
+  }
+  if (*silence < next_leader_report_) {
+    return;
+  }
+  next_leader_report_ = 2 * *silence;
+  const ReplicaStatus status = Status();
+  const LogIndex last = core_ ? core_->last_index() : 0;
+  const ElectionAnswers answers =
+      core_ ? core_->last_election_answers() : ElectionAnswers();
+  LogEvent(kLeaderMissing,
+           {{"silent_ms", silence->count()},
+            {"reason", MissingLeaderReason()},
+            {"voter", core_ && core_->configuration().IsVoter(core_->id())},
+            {"replica", status.id ? status.id->ToString() : ""},
+            {"term", status.term},
+            {"log_term", core_ ? core_->TermAt(last).value_or(0) : 0},
+            {"last_index", last},
+            {"configuration_index", core_ ? core_->configuration_index() : 0},
+            {"voters", JoinIds(status.voters)},
+            {"learners", JoinIds(status.learners)},
+            {"granted", JoinIds(answers.granted)},
+            {"refused", JoinRefusals(answers.refused)},
+            {"missing", JoinIds(answers.missing)},
+            {"disk_error", storage_fault_ ? storage_fault_->ToString() : ""}});
+}
+
+std::string_view ReplicaDriver::MissingLeaderReason() const {
+  if (storage_fault_) {
+    return "disk";
+  }
+  if (!core_) {
+    return "folder_not_formatted";
+  }
+  const Configuration& configuration = core_->configuration();
+  if (!configuration.IsVoter(core_->id())) {
+    return configuration.IsLearner(core_->id()) ? "learner" : "not_a_member";
+  }
+  if (!core_->MayCampaign()) {
+    return "cluster_not_formed";
+  }
+  const ElectionAnswers& answers = core_->last_election_answers();
+  if (answers.granted.empty()) {
+    return "no_election_yet";
+  }
+  const std::pair own(core_->TermAt(core_->last_index()).value_or(0),
+                      core_->last_index());
+  for (const VoteRefusal& refusal : answers.refused) {
+    if (std::pair(refusal.log_term, refusal.last_index) > own) {
+      return "log_behind";
+    }
+  }
+  const size_t answered = answers.granted.size() + answers.refused.size();
+  return answered < configuration.Quorum() ? "no_quorum_of_answers"
+                                           : "votes_refused";
+}
+
 }  // namespace bramleyrail
--- a/packages/replication/replication_events.h
+++ b/packages/replication/replication_events.h
@@ -28,6 +28,10 @@
 
 inline constexpr LogEventDefinition kStorageDeferred{
     3010, LogSeverity::kWarning, "storage_deferred"};
+inline constexpr LogEventDefinition kStorageResumed{3011, LogSeverity::kInfo,
+                                                    "storage_resumed"};
+inline constexpr LogEventDefinition kLeaderMissing{3012, LogSeverity::kWarning,
+                                                   "leader_missing"};
 
 }  // namespace bramleyrail
 
--- a/packages/storage/posix_disk_file.cc
+++ b/packages/storage/posix_disk_file.cc
@@ -28,9 +28,9 @@
   message += std::generic_category().message(code);
   const char* remedy =
       code == ENOSPC || code == EDQUOT
-          ? "free space on the disk, then restart the instance"
-          : "check the disk and the permissions of the data folder, then "
-            "restart the instance";
+          ? "free space on the disk; a running instance then continues"
+          : "check the disk and the permissions of the data folder; a running "
+            "instance then continues";
   return MakeError(ErrorKind::kStorage, std::move(message), remedy);
 }
 
--- a/packages/storage/replica_store.cc
+++ b/packages/storage/replica_store.cc
@@ -13,6 +13,8 @@
 
 // A new segment is started when the current one has reached this size.
 constexpr uint64_t kSegmentSizeThresholdBytes = uint64_t{4} * 1024 * 1024;
+constexpr char kDiskCheckFileName[] = "check";
+constexpr size_t kDiskCheckBytes = 4096;
 
 }  // namespace
 
@@ -27,23 +29,29 @@
 }
 
 Result<void> ReplicaStore::Format(const ReplicaIdentity& identity) {
-  if (storage_error_) {
-    return *storage_error_;
-  }
   BRAMLEYRAIL_ASSERT(
       segment_first_batches_.empty() || current_segment_ != nullptr,
       "Format() requires an empty data folder");
   // The identity is written last, since a folder without it counts as empty. A
-  // repeated call finds the segment of the earlier one.
-  if (segment_first_batches_.empty()) {
-    const Result<void> started = RecordError(
-        StartSegment({MakeRecord(LogBase{}), MakeRecord(HardState{})}));
-    if (started.has_error()) {
-      return started;
-    }
+  // repeated call finds the segment of the earlier one, which may be incomplete
+  // or without a durable name.
+  const bool has_segment = current_segment_bytes_ > 0;
+  if (!has_segment) {
+    segment_first_batches_.clear();
+  }
+  const Result<void> started = RecordError(
+      has_segment
+          ? disk_->SyncFolder()
+          : StartSegment({MakeRecord(LogBase{}), MakeRecord(HardState{})}));
+  if (started.has_error()) {
+    return started;
   }
-  return RecordError(
+  const Result<void> formatted = RecordError(
       WriteFileAtomically(kIdentityFileName, EncodeIdentity(identity)));
+  if (formatted.has_value()) {
+    storage_error_.reset();
+  }
+  return formatted;
 }
 
 Result<void> ReplicaStore::Append(const std::optional<HardState>& hard_state,
@@ -89,19 +97,43 @@
   if (storage_error_) {
     return *storage_error_;
   }
-  return RecordError(WriteSnapshot(snapshot, following_entries));
+  TRY(WriteSnapshot(snapshot));
+  return RecordError(StartLogAfter(snapshot, following_entries));
 }
 
-Result<void> ReplicaStore::WriteSnapshot(
-    const Snapshot& snapshot,
+Result<void> ReplicaStore::CheckDisk() {
+  const std::string name = std::string(kDiskCheckFileName) + kTemporarySuffix;
+  TRY(file, disk_->Create(name));
+  TRY(file->Append(std::vector<std::byte>(kDiskCheckBytes)));
+  TRY(file->Sync());
+  return disk_->Remove(name);
+}
+
+Result<void> ReplicaStore::Rewrite(
+    const HardState& hard_state,
+    const SnapshotPointer& snapshot,
     std::span<const LogEntry> following_entries) {
+  // The batch of the failed call, or of an earlier attempt, may be on the disk.
+  // Recovery tells the batches of the new segment from it by their numbers.
+  ++next_batch_;
+  hard_state_ = hard_state;
+  if (snapshot != nullptr) {
+    TRY(WriteSnapshot(*snapshot));
+  }
+  TRY(StartLogAfter(snapshot != nullptr ? *snapshot : Snapshot(),
+                    following_entries));
+  storage_error_.reset();
+  return Success();
+}
+
+Result<void> ReplicaStore::WriteSnapshot(const Snapshot& snapshot) {
   TRY(WriteFileAtomically(SnapshotName(snapshot.index),
                           EncodeSnapshot(snapshot)));
   // A repeated call replaces the file of the earlier one.
   if (snapshot_indexes_.empty() || snapshot_indexes_.back() != snapshot.index) {
     snapshot_indexes_.push_back(snapshot.index);
   }
-  return StartLogAfter(snapshot, following_entries);
+  return Success();
 }
 
 Result<void> ReplicaStore::StartLogAfter(
@@ -123,8 +155,16 @@
     std::span<const std::byte> data) {
   const std::string temporary = name + kTemporarySuffix;
   TRY(file, disk_->Create(temporary));
-  TRY(file->Append(data));
-  TRY(file->Sync());
+  Result<void> written = file->Append(data);
+  if (written.has_value()) {
+    written = file->Sync();
+  }
+  if (written.has_error()) {
+    // The log may need the space. If the file stays, the next call or the next
+    // start removes it.
+    (void)disk_->Remove(temporary);
+    return written;
+  }
   TRY(disk_->Rename(temporary, name));
   return disk_->SyncFolder();
 }
@@ -166,7 +206,7 @@
 }
 
 Result<void> ReplicaStore::RemoveSnapshotsBefore(LogIndex index) {
-  while (snapshot_indexes_.front() < index) {
+  while (!snapshot_indexes_.empty() && snapshot_indexes_.front() < index) {
     TRY(disk_->Remove(SnapshotName(snapshot_indexes_.front())));
     snapshot_indexes_.erase(snapshot_indexes_.begin());
   }
--- a/packages/storage/replica_store.h
+++ b/packages/storage/replica_store.h
@@ -32,10 +32,10 @@
 };
 
 // Stores the hard state, log and snapshot of one replica in one folder. Every
-// change is durable when the call returns. After a failed write or sync, all
-// further calls fail, since the page cache may no longer show the durable
-// content. A kResourceExhausted error leaves the store usable: the call may be
-// repeated. Not thread-safe.
+// change is durable when the call returns. After a failed write or sync of the
+// log, Append() and SaveSnapshot() fail until Rewrite() succeeds, since the
+// page cache may no longer show the durable content. A kResourceExhausted error
+// leaves the store usable: the call may be repeated. Not thread-safe.
 class ReplicaStore {
  public:
   // Opens the store and recovers its state. kDataLoss when a record that had
@@ -45,17 +45,29 @@
   // Moves out the state that Open() has recovered.
   RecoveredState TakeRecoveredState() { return std::move(recovered_); }
 
-  // Initializes the empty folder for a new replica.
+  // Initializes the empty folder for a new replica. May be repeated after an
+  // error.
   Result<void> Format(const ReplicaIdentity& identity);
   // Stores a new hard state and entries with one sync. The entries replace all
   // stored entries from the index of the first new entry on.
   Result<void> Append(const std::optional<HardState>& hard_state,
                       std::span<const LogEntry> entries);
-  // Stores a snapshot and starts a new log with the entries that follow it.
+  // Stores a snapshot and starts a new log with the entries that follow it. A
+  // snapshot that cannot be written leaves the log usable.
   Result<void> SaveSnapshot(const Snapshot& snapshot,
                             std::span<const LogEntry> following_entries);
-
-  // The failure of a write or sync after which all calls fail, if any.
+  // Returns an error while the disk takes no bytes.
+  Result<void> CheckDisk();
+  // Stores the whole state of the replica in new files, and makes the store
+  // usable again. The state must include all that earlier calls made durable.
+  // `snapshot` is null when no entry is applied. May be repeated after an
+  // error.
+  Result<void> Rewrite(const HardState& hard_state,
+                       const SnapshotPointer& snapshot,
+                       std::span<const LogEntry> following_entries);
+
+  // The failure of a write or sync after which the log takes no more entries,
+  // if any.
   const std::optional<Error>& storage_error() const { return storage_error_; }
 
  private:
@@ -80,8 +92,7 @@
   Result<void> StartSegment(std::vector<LogRecord> records);
   Result<void> AppendRecords(const std::optional<HardState>& hard_state,
                              std::span<const LogEntry> entries);
-  Result<void> WriteSnapshot(const Snapshot& snapshot,
-                             std::span<const LogEntry> following_entries);
+  Result<void> WriteSnapshot(const Snapshot& snapshot);
   Result<void> StartLogAfter(const Snapshot& snapshot,
                              std::span<const LogEntry> following_entries);
   Result<void> RemoveSegmentsBefore(uint64_t first_batch);
