Queue, Dispatch: Know withdrawn workers until they run nothing

Cause: a withdrawal removed the worker from the replicated state when it was applied. Only the leader that applied it followed the worker further; a leader that took over waited for the leases of registered workers. Long-running tasks of a drained worker were taken for ended in the same way.

Change: a withdrawn worker stays in the state until a leader knows that it runs nothing, or a later process has its id or address.

Why it works: each leader now finds every worker in the state whose lease an earlier leader may have granted, and waits for its list, its end or the expiry.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -21,6 +21,9 @@
 constexpr int kResponsesOfFullBatch = 64;
 constexpr Milliseconds kRecordRetryDelay{50};
 constexpr Milliseconds kPurgeInterval{10'000};
+// Pause between two commands that forget withdrawn workers. A leader that takes
+// over before then waits for them.
+constexpr Milliseconds kForgetInterval{200};
 constexpr Milliseconds kLoadReportInterval{1'000};
 
 }  // namespace
@@ -120,6 +123,7 @@
   ProposeFinishedRuns();
   ProposePlacements();
   PurgeOldJobs(now);
+  ForgetWithdrawnWorkers(now);
   const MonotonicTime sent = options_.clock();
   load_.AddStep({.synchronize = synchronized - now,
                  .decide = decided - synchronized,
@@ -351,6 +355,23 @@
   }
 }
 
+void DispatchLoop::ForgetWithdrawnWorkers(MonotonicTime now) {
+  if (now < next_forget_) {
+    return;
+  }
+  std::vector<WorkerIncarnation> ended =
+      queue_->Read([this](const QueueState& state) {
+        return dispatcher_->EndedWithdrawals(state);
+      });
+  if (ended.empty()) {
+    return;
+  }
+  next_forget_ = now + kForgetInterval;
+  // If the proposal fails, a later step proposes it again.
+  queue_->Propose(bramleyrail::ForgetWithdrawnWorkers{std::move(ended)},
+                  [](const Result<QueueOutcome>&) {});
+}
+
 void DispatchLoop::ObserveClock(const std::string& worker,
                                 int64_t started_unix_ms,
                                 int64_t clock_ms) {
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -85,6 +85,7 @@
       const std::shared_ptr<Dispatcher::PlacementBatch>& batch,
       const Result<QueueOutcome>& outcome);
   void PurgeOldJobs(MonotonicTime now);
+  void ForgetWithdrawnWorkers(MonotonicTime now);
   void ReportLoad(MonotonicTime now);
 
   IoLoop* const loop_;
@@ -98,6 +99,7 @@
   std::atomic<bool> changed_ = true;
   std::atomic<bool> wake_posted_ = false;
   MonotonicTime last_purge_;
+  MonotonicTime next_forget_;
   MonotonicTime next_tick_;
   MonotonicTime step_due_;
   // Since the timer of the next step was set.
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -106,10 +106,7 @@
       if (!synchronized_) {
         // The first clock that this leader sees may be old, and its own lease
         // then ends before the one that its predecessor granted.
-        worker->AssumeLease(
-            state.HasRestarted(id)
-                ? EndOfInheritedLeases(now, options_.maximum_lease)
-                : EndOfEarlierLeases());
+        worker->AssumeLease(EndOfEarlierLease(state.HasRestarted(id), now));
       }
       if (earlier != nullptr) {
         StopInheritedRuns(earlier.get(), worker.get(), now);
@@ -119,6 +116,9 @@
       worker->deregistered = false;
     }
   }
+  if (!synchronized_) {
+    TrackWithdrawnWorkers(state, now);
+  }
   for (auto& [id, worker] : workers_) {
     if (state.workers().contains(id) || worker->deregistered) {
       continue;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -119,6 +119,10 @@
                     int64_t clock_ms,
                     MonotonicTime now);
 
+  // Withdrawn workers of the state that run no task any more.
+  std::vector<WorkerIncarnation> EndedWithdrawals(
+      const QueueState& state) const;
+
   // Whether a task of the job is known to have started.
   bool HasStarted(std::string_view job) const;
   // Open jobs of the queue without such a task.
@@ -144,6 +148,11 @@
   bool HasLastRun(const TaskName& name, const TrackedTask& task) const;
   void EnqueueReadyTasks(TrackedJob* job, const std::vector<TaskName>& tasks);
   void SynchronizeWorkers(const QueueState& state, MonotonicTime now);
+  // Follows workers that were withdrawn under earlier leaders, whose leases may
+  // not have expired.
+  void TrackWithdrawnWorkers(const QueueState& state, MonotonicTime now);
+  // When the lease ends that an earlier leader may have granted to the worker.
+  MonotonicTime EndOfEarlierLease(bool restarted, MonotonicTime now) const;
   void SynchronizeJobs(const QueueState& state, MonotonicTime now);
   void SynchronizeJob(const QueueState& state,
                       const std::string& id,
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -50,6 +50,41 @@
   return now + maximum_lease * 51 / 50 + kInheritedLeaseMargin;
 }
 
+MonotonicTime Dispatcher::EndOfEarlierLease(bool restarted,
+                                            MonotonicTime now) const {
+  return restarted ? EndOfInheritedLeases(now, options_.maximum_lease)
+                   : EndOfEarlierLeases();
+}
+
+void Dispatcher::TrackWithdrawnWorkers(const QueueState& state,
+                                       MonotonicTime now) {
+  for (const auto& [id, withdrawn] : state.withdrawn_workers()) {
+    if (workers_.contains(id)) {
+      continue;  // A later incarnation has registered.
+    }
+    auto worker = std::make_unique<TrackedWorker>(withdrawn.registration);
+    worker->last_response = now;
+    worker->in_other_region =
+        selector_.IsInOtherRegion(withdrawn.registration.failure_domain);
+    worker->AssumeLease(EndOfEarlierLease(withdrawn.restarted, now));
+    worker->deregistered = true;
+    worker->deregistered_since = now;
+    workers_[id] = std::move(worker);
+  }
+}
+
+std::vector<WorkerIncarnation> Dispatcher::EndedWithdrawals(
+    const QueueState& state) const {
+  std::vector<WorkerIncarnation> ended;
+  // The sweep erases a withdrawn worker once it runs nothing.
+  for (const auto& [id, withdrawn] : state.withdrawn_workers()) {
+    if (!workers_.contains(id)) {
+      ended.push_back({id, withdrawn.registration.started_unix_ms});
+    }
+  }
+  return ended;
+}
+
 bool Dispatcher::AllWorkersContacted(MonotonicTime now) {
   if (all_workers_contacted_) {
     return true;
@@ -108,12 +143,18 @@
                                   const RecordedRuns::Run& recorded,
                                   TrackedJob* job) {
   TrackedTask& tracked_task = job->task(task);
+  const auto found = workers_.find(recorded.worker.id);
+  const bool incarnation_followed =
+      found != workers_.end() &&
+      found->second->registration().started_unix_ms <=
+          recorded.worker.started_unix_ms;
+  // A drained worker that has left runs nothing once it is not followed as
+  // withdrawn any more.
   if (tracked_task.phase == TaskPhase::kDone ||
-      state.HasDeparted(recorded.worker)) {
+      (state.HasDeparted(recorded.worker) && !incarnation_followed)) {
     return;
   }
   tracked_task.last_run = recorded.number;
-  const auto found = workers_.find(recorded.worker.id);
   if (found == workers_.end()) {
     // A delayed withdrawal of an earlier incarnation may have removed it.
     tracked_task.not_before = EndOfEarlierLeases();
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -140,6 +140,8 @@
     ReadResponses();
     RecordDuePlacements();
     StepDispatcher(dispatcher_.get());
+    state_.Apply({kStartUnixMs, ForgetWithdrawnWorkers{
+                                    dispatcher_->EndedWithdrawals(state_)}});
   }
   CheckInvariants();
 }
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -75,6 +75,8 @@
   // Makes every run on the worker fail.
   void FailAll(int worker, bool fails) { workers_[worker].fails_all = fails; }
   void SetDraining(int worker);
+  // Registers the worker again, unless its process is down.
+  void Register(int worker);
   // Makes each run of the job end its worker's process soon after the start.
   // The process is back after `down`, under the same id as a later incarnation.
   void CrashWorkersOf(const std::string& job, Milliseconds down) {
--- a/packages/dispatch/fakes/fake_pool_crashes.cc
+++ b/packages/dispatch/fakes/fake_pool_crashes.cc
@@ -88,6 +88,13 @@
   Apply(PutWorker{workers_[number].registration});
 }
 
+void FakePool::Register(int number) {
+  const Worker& worker = workers_[number];
+  if (now_ >= worker.down_until && !worker.registers_at) {
+    Apply(PutWorker{worker.registration});
+  }
+}
+
 void FakePool::SetCapacity(int number, const ResourceAmounts& capacity) {
   WorkerRegistration& registration = workers_[number].registration;
   registration.capacity = capacity;
--- a/packages/dispatch/tests/takeover_test.cc
+++ b/packages/dispatch/tests/takeover_test.cc
@@ -1,3 +1,6 @@
+#include <random>
+
+#include "absl/strings/str_cat.h"
 #include "packages/dispatch/fakes/fake_pool.h"
 
 // Redefines operator new, so it comes after the standard library.
@@ -108,6 +111,109 @@
   RunsWithin(&pool, kTasks, Milliseconds(0));
 }
 
+// TWICE: an executor that had sent its withdrawal and got no acknowledgement
+// went on working, and the next leader started its task elsewhere. Fails when a
+// new leader takes a worker for gone whose lease may not have expired.
+TEST(Takeover, WithdrawnWorkerMayGoOnWorking) {
+  for (const bool long_running : {false, true}) {
+    for (const bool draining : {false, true}) {
+      for (const bool partitioned : {false, true}) {
+        for (const int takeovers : {1, 2, 3}) {
+          FakePool pool({.workers = 5, .task_time = Milliseconds(6'800)});
+          pool.Submit("job", long_running ? LongRunningJob()
+                                          : FakePool::Job(kTasks, 1));
+          RunsWithin(&pool, kTasks, kLongEnough);
+          const int on_withdrawn = pool.RunsOn(0);
+          CHECK(on_withdrawn > 0);
+          pool.SetPartitioned(0, partitioned);
+          if (draining) {
+            pool.SetDraining(0);
+          }
+          pool.Apply(RemoveWorker{"w0", 0});
+          for (int i = 0; i < takeovers; ++i) {
+            pool.ChangeLeader();
+            pool.RunFor(Milliseconds(300));
+          }
+          LONGS_EQUAL(0, pool.starts() - kTasks);
+          pool.RunFor(Milliseconds(20'000));
+          CHECK_TRUE_TEXT(pool.violation().empty(), pool.violation().c_str());
+          if (long_running) {
+            RunsWithin(&pool, kTasks, Milliseconds(0));
+            LONGS_EQUAL(0, pool.RunsOn(0));
+          } else {
+            CHECK(pool.Outcome("job") == JobOutcome::kCompleted);
+          }
+        }
+      }
+    }
+  }
+}
+
+// Fails when a worker that was withdrawn without runs, or whose process is
+// known to have ended, holds tasks at the next takeover.
+TEST(Takeover, WithdrawnWorkerThatRunsNothingIsForgotten) {
+  FakePool pool({.workers = 5});
+  pool.RunFor(Milliseconds(1'000));
+  pool.Apply(RemoveWorker{"w0", 0});
+  pool.RunFor(Milliseconds(100));
+  CHECK(pool.state().withdrawn_workers().empty());
+  pool.SetPartitioned(0, true);
+  pool.Submit("job", FakePool::Job(kTasks, 1));
+  RunsWithin(&pool, kTasks, kLongEnough);
+  pool.Remove(1);
+  pool.Apply(RemoveWorker{"w1", 0});
+  pool.ChangeLeader();
+  pool.RunFor(Milliseconds(1'500));
+  CHECK(pool.Outcome("job") == JobOutcome::kCompleted);
+  CHECK(pool.state().withdrawn_workers().empty());
+}
+
+// The same with any series of withdrawals, returns, crashes, cut-off workers
+// and takeovers.
+TEST(Takeover, NoSeriesOfWithdrawalsRunsATaskTwice) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    FakePool pool({.workers = 5,
+                   .seed = seed,
+                   .lose_response = 0.05,
+                   .task_time = Milliseconds(3'000)});
+    std::mt19937_64 random(seed);
+    const auto below = [&random](uint64_t limit) {
+      return static_cast<int>(random() % limit);
+    };
+    pool.Submit("lasting", LongRunningJob());
+    for (int round = 0; round < 40; ++round) {
+      const int worker = below(5);
+      const std::string id = absl::StrCat("w", worker);
+      switch (below(7)) {
+        case 0:
+        case 1:
+          pool.Apply(RemoveWorker{id, 0});
+          break;
+        case 2:
+        case 3:
+          pool.ChangeLeader();
+          break;
+        case 4:
+          pool.SetPartitioned(worker, below(2) == 0);
+          break;
+        case 5:
+          pool.Crash(worker, Milliseconds(below(3'000)));
+          break;
+        default:
+          pool.Submit(absl::StrCat("job-", round), FakePool::Job(3, 2));
+          break;
+      }
+      // A worker that was withdrawn by a delayed order registers again.
+      if (below(3) == 0) {
+        pool.Register(worker);
+      }
+      pool.RunFor(Milliseconds(below(1'500)));
+      CHECK_TRUE_TEXT(pool.violation().empty(),
+                      absl::StrCat(seed, ": ", pool.violation()).c_str());
+    }
+  }
+}
+
 // Jobs of a leader of an earlier version have no records. Fails when the tasks
 // of such a job start before all workers have been heard.
 TEST(Takeover, TasksWithoutRecordsWaitForEveryWorker) {
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -55,6 +55,9 @@
   snapshot.recorded_runs = MakePlacementList(recorded_runs_.List());
   snapshot.restarted_workers.assign(restarted_workers_.begin(),
                                     restarted_workers_.end());
+  for (const auto& [id, withdrawn] : withdrawn_workers_) {
+    snapshot.withdrawn_workers.push_back(withdrawn);
+  }
   return codec::Encode(snapshot);
 }
 
@@ -94,6 +97,10 @@
       snapshot.jobs_with_unrecorded_runs.end());
   state->restarted_workers_.insert(snapshot.restarted_workers.begin(),
                                    snapshot.restarted_workers.end());
+  for (WithdrawnWorker& withdrawn : snapshot.withdrawn_workers) {
+    const std::string id = withdrawn.registration.id;
+    state->withdrawn_workers_[id] = std::move(withdrawn);
+  }
   const auto recorded_runs = PlacementsOf(snapshot.recorded_runs);
   if (!recorded_runs) {
     return codec::DamagedError("the recorded runs of the queue snapshot");
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -46,6 +46,7 @@
   std::vector<std::string> jobs_with_unrecorded_runs;
   PlacementList recorded_runs;
   std::vector<std::string> restarted_workers;
+  std::vector<WithdrawnWorker> withdrawn_workers;
 };
 
 auto Fields(codec::Is<JobStep> auto& v) {
@@ -86,6 +87,12 @@
 auto Fields(codec::Is<DepartedWorker> auto& v) {
   return std::tie(v.id, v.started_unix_ms, v.departed_unix_ms);
 }
+auto Fields(codec::Is<WithdrawnWorker> auto& v) {
+  return std::tie(v.registration, v.restarted);
+}
+auto Fields(codec::Is<ForgetWithdrawnWorkers> auto& v) {
+  return std::tie(v.workers);
+}
 auto Fields(codec::Is<MaintenanceWave> auto& v) {
   return std::tie(v.number, v.machines, v.duration_ms,
                   v.maximum_concurrent_machines, v.started_unix_ms,
@@ -170,7 +177,7 @@
                   v.workers, v.jobs, v.waves, v.departed_workers,
                   v.leader_records_placements, v.longest_lease_ms,
                   v.jobs_with_unrecorded_runs, v.recorded_runs,
-                  v.restarted_workers);
+                  v.restarted_workers, v.withdrawn_workers);
 }
 
 }  // namespace bramleyrail
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -42,6 +42,7 @@
   WorkerRegistration registration;
 };
 
+// The worker is known as withdrawn until a leader knows that it runs nothing.
 struct RemoveWorker {
   std::string id;
   int64_t started_unix_ms = 0;  // 0: any incarnation.
@@ -115,6 +116,11 @@
   int64_t unused = 0;
 };
 
+// The withdrawn workers run no task any more.
+struct ForgetWithdrawnWorkers {
+  std::vector<WorkerIncarnation> workers;
+};
+
 using QueueCommandBody = std::variant<BeginLeadership,
                                       ReplaceConfiguration,
                                       SetEvacuated,
@@ -127,7 +133,8 @@
                                       StartWave,
                                       FinishMachineMaintenance,
                                       ReadBarrier,
-                                      RecordPlacements>;
+                                      RecordPlacements,
+                                      ForgetWithdrawnWorkers>;
 
 struct QueueCommand {
   int64_t proposed_unix_ms = 0;
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace bramleyrail {
 
@@ -155,6 +156,11 @@
     return item.first != added.id && item.second.address == added.address &&
            item.second.started_unix_ms <= added.started_unix_ms;
   });
+  std::erase_if(withdrawn_workers_, [&](const auto& item) {
+    const WorkerRegistration& withdrawn = item.second.registration;
+    return (withdrawn.id == added.id || withdrawn.address == added.address) &&
+           withdrawn.started_unix_ms <= added.started_unix_ms;
+  });
   workers_revision_ = NextRevision();
   if (current != workers_.end() &&
       current->second.started_unix_ms != added.started_unix_ms) {
@@ -179,12 +185,27 @@
     departed_workers_[command.id] = {command.id,
                                      current->second.started_unix_ms, unix_ms};
   }
+  const bool restarted = restarted_workers_.erase(command.id) > 0;
+  withdrawn_workers_[command.id] = {std::move(current->second), restarted};
   workers_.erase(current);
-  restarted_workers_.erase(command.id);
   workers_revision_ = NextRevision();
   return {.found = true, .changed = true};
 }
 
+QueueOutcome QueueState::Handle(const ForgetWithdrawnWorkers& command,
+                                int64_t) {
+  size_t erased = 0;
+  for (const WorkerIncarnation& worker : command.workers) {
+    const auto found = withdrawn_workers_.find(worker.id);
+    if (found != withdrawn_workers_.end() &&
+        found->second.registration.started_unix_ms == worker.started_unix_ms) {
+      withdrawn_workers_.erase(found);
+      ++erased;
+    }
+  }
+  return {.found = true, .changed = erased > 0};
+}
+
 QueueOutcome QueueState::Handle(const SubmitJob& command, int64_t unix_ms) {
   auto [position, inserted] = jobs_.try_emplace(command.id);
   if (!inserted) {
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -75,6 +75,10 @@
   const std::map<std::string, WorkerRegistration>& workers() const {
     return workers_;
   }
+  // Workers that are not registered any more and may still run tasks, by id.
+  const std::map<std::string, WithdrawnWorker>& withdrawn_workers() const {
+    return withdrawn_workers_;
+  }
   using Jobs = std::map<std::string, std::shared_ptr<QueuedJob>, std::less<>>;
   const Jobs& jobs() const { return jobs_; }
   const QueuedJob* FindJob(std::string_view id) const;
@@ -124,6 +128,7 @@
   QueueOutcome Handle(const FinishMachineMaintenance& command, int64_t unix_ms);
   QueueOutcome Handle(const ReadBarrier& command, int64_t unix_ms);
   QueueOutcome Handle(const RecordPlacements& command, int64_t unix_ms);
+  QueueOutcome Handle(const ForgetWithdrawnWorkers& command, int64_t unix_ms);
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
   static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
   void MarkDone(const TaskName& task, QueuedJob* job);
@@ -139,6 +144,7 @@
   std::set<std::string> evacuated_;
   std::map<std::string, WorkerRegistration> workers_;
   std::map<std::string, DepartedWorker> departed_workers_;  // By id.
+  std::map<std::string, WithdrawnWorker> withdrawn_workers_;
   std::set<std::string> restarted_workers_;
   Jobs jobs_;
   std::map<int64_t, MaintenanceWave> waves_;
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -66,6 +66,48 @@
   CHECK(state.FindJob("a")->outcome == JobOutcome::kCompleted);
 }
 
+// TWICE: a leader that took over knew nothing of a worker that had been
+// withdrawn and went on working. Fails when such a worker is forgotten before a
+// leader knows that it runs nothing, or is still expected after its process has
+// ended.
+TEST(QueueState, WithdrawnWorkerIsKnownUntilItRunsNothing) {
+  for (const int64_t draining : {0, 1}) {
+    auto state = std::make_unique<QueueState>();
+    WorkerRegistration worker;
+    worker.id = "w";
+    worker.started_unix_ms = 5;
+    worker.address = "10.0.0.1:80";
+    worker.draining = draining == 1;
+    const auto withdraw = [&] {
+      Apply(state.get(), PutWorker{worker});
+      Apply(state.get(), RemoveWorker{"w", 0});
+      state = QueueState::FromSnapshot(state->EncodeSnapshot()).value();
+      LONGS_EQUAL(1, state->withdrawn_workers().size());
+      CHECK(state->withdrawn_workers().at("w").registration == worker);
+      CHECK(!state->workers().contains("w"));
+    };
+    withdraw();
+    Apply(state.get(), RemoveWorker{"w", 0});  // Sent again.
+    Apply(state.get(), ForgetWithdrawnWorkers{{{"w", 4}}});
+    LONGS_EQUAL(1, state->withdrawn_workers().size());
+    Apply(state.get(), ForgetWithdrawnWorkers{{{"w", 5}}});
+    CHECK(state->withdrawn_workers().empty());
+    // A process that has its address, and a later incarnation, show the end.
+    worker.started_unix_ms = 6;
+    withdraw();
+    WorkerRegistration other = worker;
+    other.id = "other";
+    other.started_unix_ms = 7;
+    Apply(state.get(), PutWorker{other});
+    CHECK(state->withdrawn_workers().empty());
+    worker.started_unix_ms = 8;
+    withdraw();
+    worker.started_unix_ms = 9;
+    Apply(state.get(), PutWorker{worker});
+    CHECK(state->withdrawn_workers().empty());
+  }
+}
+
 // Fails when a leader misses a change of the workers or of the open jobs, which
 // it recognizes by the revisions.
 TEST(QueueState, RevisionsFollowWorkersAndOpenJobs) {
--- a/packages/queue/worker_registration.h
+++ b/packages/queue/worker_registration.h
@@ -41,6 +41,14 @@
   int64_t departed_unix_ms = 0;
 };
 
+// A worker that was withdrawn while its process may still run tasks under a
+// lease: it goes on for some seconds when the acknowledgement is lost.
+struct WithdrawnWorker {
+  WorkerRegistration registration;
+  // Its id had an earlier incarnation, whose orders it may have executed.
+  bool restarted = false;
+};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_QUEUE_WORKER_REGISTRATION_H_
