Consensus: Forget a leader that has been silent for an election timeout

An observer or a replica that may not campaign kept the name of its last leader for good, so requests were relayed to machines that could not answer, and the log named the wrong cause.

Change: a replica that does not lead forgets the leader 2 s after its last message, the longest election timeout. Replicas that campaign did so before.

Result: Simulation.ObserverForgetsALeaderThatIsGone fails without the change and passes; the other replication tests pass.

--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -78,6 +78,11 @@
     TickLeader();
     return;
   }
+  // A replica that may not campaign would name a leader that is gone for good,
+  // and requests would be relayed there.
+  if (leader_ && now_ - leader_contact_ >= kMaximumElectionTimeout) {
+    leader_ = std::nullopt;
+  }
   SendJoinRequests();
   SendFreshnessProbe();
   const bool only_voter = configuration().voters.size() == 1;
--- a/packages/replication/tests/simulation_test.cc
+++ b/packages/replication/tests/simulation_test.cc
@@ -408,6 +408,28 @@
   CheckSafe(simulation);
 }
 
+// An observer, which never campaigns, named a leader that was gone for good, so
+// requests were relayed to it again and again.
+TEST(Simulation, ObserverForgetsALeaderThatIsGone) {
+  ClusterSimulation simulation(
+      {.voters = ThreeVoters(), .observers = {"observer"}, .seed = 2});
+  CHECK(simulation.RunUntilLeader());
+  CHECK(simulation.RunUntilConverged());
+  CHECK(simulation.At("observer").core()->leader().has_value());
+  for (const std::string& name : ThreeVoters()) {
+    simulation.Crash(name, 0, false);
+  }
+  simulation.RunFor(Milliseconds(2'100));
+  CHECK(!simulation.At("observer").core()->leader().has_value());
+  for (const std::string& name : ThreeVoters()) {
+    simulation.Restart(name);
+  }
+  CHECK(simulation.RunUntilLeader());
+  CHECK(simulation.RunUntil(
+      [&] { return simulation.At("observer").core()->leader().has_value(); }));
+  CheckSafe(simulation);
+}
+
 // A snapshot that does not fit into one message is sent in chunks, some of
 // which get lost and must be resent.
 TEST(Simulation, SnapshotOfManyChunksReachesALaggingFollower) {
