--- a/packages/bramleyraild/bramleyraild_main.cc
+++ b/packages/bramleyraild/bramleyraild_main.cc
@@ -30,6 +30,8 @@
 // WaitForStopSignal receives them.
 sigset_t BlockStopSignals() {
   signal(SIGPIPE, SIG_IGN);
+  // A write beyond the limit of the file size fails like one to a full disk.
+  signal(SIGXFSZ, SIG_IGN);
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
