Queue: Let only the current leader forget a withdrawn worker

A delayed heartbeat of an earlier incarnation could hide a withdrawn worker from a new leader.

Change: the command names its leader and has no effect under a later one. A heartbeat of an incarnation before the withdrawn one is ignored.

Result: QueueState.WithdrawnWorkerIsKnownUntilItRunsNothing checks both; the tests of queue and dispatch pass.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -363,8 +363,10 @@
   }
   next_forget_ = now + kForgetInterval;
   // If the proposal fails, a later step proposes it again.
-  queue_->Propose(bramleyrail::ForgetWithdrawnWorkers{std::move(ended)},
-                  [](const Result<QueueOutcome>&) {});
+  queue_->Propose(
+      bramleyrail::ForgetWithdrawnWorkers{dispatcher_->leader_epoch(),
+                                          std::move(ended)},
+      [](const Result<QueueOutcome>&) {});
 }
 
 void DispatchLoop::ObserveClock(const std::string& worker,
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -141,6 +141,7 @@
     RecordDuePlacements();
     StepDispatcher(dispatcher_.get());
     state_.Apply({kStartUnixMs, ForgetWithdrawnWorkers{
+                                    dispatcher_->leader_epoch(),
                                     dispatcher_->EndedWithdrawals(state_)}});
   }
   CheckInvariants();
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -103,7 +103,7 @@
   return std::tie(v.registration, v.restarted);
 }
 auto Fields(codec::Is<ForgetWithdrawnWorkers> auto& v) {
-  return std::tie(v.workers);
+  return std::tie(v.leader_epoch, v.workers);
 }
 auto Fields(codec::Is<MaintenanceWave> auto& v) {
   return std::tie(v.number, v.machines, v.duration_ms,
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -120,8 +120,10 @@
   int64_t unused = 0;
 };
 
-// The withdrawn workers run no task any more.
+// The withdrawn workers run no task any more. Has no effect once a later leader
+// has begun: it may have followed them as registered again.
 struct ForgetWithdrawnWorkers {
+  int64_t leader_epoch = 0;
   std::vector<WorkerIncarnation> workers;
 };
 
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -164,6 +164,11 @@
       added.started_unix_ms <= departed->second.started_unix_ms) {
     return {.found = true};
   }
+  const auto withdrawn = withdrawn_workers_.find(added.id);
+  if (withdrawn != withdrawn_workers_.end() &&
+      added.started_unix_ms < withdrawn->second.registration.started_unix_ms) {
+    return {.found = true};
+  }
   // An address belongs to one process, so an older worker with this address no
   // longer exists.
   std::erase_if(workers_, [&](const auto& item) {
@@ -171,9 +176,9 @@
            item.second.started_unix_ms <= added.started_unix_ms;
   });
   std::erase_if(withdrawn_workers_, [&](const auto& item) {
-    const WorkerRegistration& withdrawn = item.second.registration;
-    return (withdrawn.id == added.id || withdrawn.address == added.address) &&
-           withdrawn.started_unix_ms <= added.started_unix_ms;
+    const WorkerRegistration& earlier = item.second.registration;
+    return (earlier.id == added.id || earlier.address == added.address) &&
+           earlier.started_unix_ms <= added.started_unix_ms;
   });
   workers_revision_ = NextRevision();
   if (current != workers_.end() &&
@@ -208,6 +213,9 @@
 
 QueueOutcome QueueState::Handle(const ForgetWithdrawnWorkers& command,
                                 int64_t) {
+  if (command.leader_epoch != leader_epoch_) {
+    return {};
+  }
   size_t erased = 0;
   for (const WorkerIncarnation& worker : command.workers) {
     const auto found = withdrawn_workers_.find(worker.id);
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -88,9 +88,18 @@
     };
     withdraw();
     Apply(state.get(), RemoveWorker{"w", 0});  // Sent again.
-    Apply(state.get(), ForgetWithdrawnWorkers{{{"w", 4}}});
+    // A delayed heartbeat of an earlier incarnation, and a leader that another
+    // one has replaced, say nothing of the worker.
+    WorkerRegistration earlier = worker;
+    earlier.started_unix_ms = 4;
+    Apply(state.get(), PutWorker{earlier});
+    CHECK(!state->workers().contains("w"));
+    const int64_t epoch =
+        Apply(state.get(), BeginLeadership{"leader"}).leader_epoch;
+    Apply(state.get(), ForgetWithdrawnWorkers{epoch - 1, {{"w", 5}}});
+    Apply(state.get(), ForgetWithdrawnWorkers{epoch, {{"w", 4}}});
     LONGS_EQUAL(1, state->withdrawn_workers().size());
-    Apply(state.get(), ForgetWithdrawnWorkers{{{"w", 5}}});
+    Apply(state.get(), ForgetWithdrawnWorkers{epoch, {{"w", 5}}});
     CHECK(state->withdrawn_workers().empty());
     // A process that has its address, and a later incarnation, show the end.
     worker.started_unix_ms = 6;
