--- a/packages/control/order_revision.cc
+++ b/packages/control/order_revision.cc
@@ -7,7 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "packages/base/json.h"
+#include "packages/base/base.h"
 
 namespace bramleyrail {
 
