Consensus: Count the time without a leader from the step-down

On call would have looked for a leader that was lost long ago.

Change: the time begins when the replica steps down.

Result: StorageFaults.TimeWithoutALeaderBeginsWhenTheLeaderStepsDown fails without the change and passes.

--- a/packages/consensus/replica_core.cc
+++ b/packages/consensus/replica_core.cc
@@ -277,7 +277,8 @@
   if (role_ == ReplicaRole::kLeader) {
     return std::nullopt;
   }
-  return std::chrono::floor<Milliseconds>(now_ - leader_contact_);
+  return std::chrono::floor<Milliseconds>(
+      now_ - std::max(leader_contact_, stepped_down_at_));
 }
 
 Configuration ReplicaCore::ConfigurationAt(LogIndex index) const {
--- a/packages/consensus/replica_core.h
+++ b/packages/consensus/replica_core.h
@@ -153,8 +153,8 @@
   const std::optional<ReplicaId>& leader() const { return leader_; }
   const HardState& hard_state() const { return hard_state_; }
   Term term() const { return hard_state_.term; }
-  // Time since the last message of a leader, or since the start without any.
-  // nullopt while this replica leads.
+  // Time since the last message of a leader, since this replica led, or since
+  // its start. nullopt while this replica leads.
   std::optional<Milliseconds> TimeWithoutLeader() const;
   // Whether this replica may start an election: it is a voter, and the cluster
   // has formed.
@@ -276,6 +276,7 @@
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<ReplicaId> leader_;
   MonotonicTime leader_contact_;
+  MonotonicTime stepped_down_at_;  // When this replica last led.
   MonotonicTime election_timer_started_at_;
   Milliseconds election_timeout_{0};
   std::set<ReplicaId> votes_;
--- a/packages/consensus/replica_core_election.cc
+++ b/packages/consensus/replica_core_election.cc
@@ -26,6 +26,7 @@
   }
   if (role_ == ReplicaRole::kLeader) {
     fresh_as_of_ = FreshAsOf();
+    stepped_down_at_ = now_;
   }
   role_ = ReplicaRole::kFollower;
   leader_ = std::move(leader);
--- a/packages/replication/tests/storage_faults_test.cc
+++ b/packages/replication/tests/storage_faults_test.cc
@@ -184,6 +184,21 @@
   CheckSafe(simulation);
 }
 
+// The time without a leader was counted from before this replica led, so its
+// log said that there had been none for as long.
+TEST(StorageFaults, TimeWithoutALeaderBeginsWhenTheLeaderStepsDown) {
+  ClusterSimulation simulation({.voters = voters_, .seed = 5});
+  CHECK(simulation.RunUntilLeader());
+  simulation.RunFor(Milliseconds(10'000));
+  const std::string failed = simulation.Leader();
+  simulation.DiskOf(failed).remaining_successful_calls = 0;
+  simulation.Propose(failed);
+  simulation.RunFor(Milliseconds(500));
+  CHECK(simulation.At(failed).Status().is_observer);
+  CHECK(*simulation.At(failed).core()->TimeWithoutLeader() <
+        Milliseconds(1'000));
+}
+
 // A leader without a free descriptor stopped its storage when a snapshot was
 // due, left the quorum for good, and so did its successor: acknowledged entries
 // were lost with a third instance.
