Dispatch: Log why a long-running task stands still

Operators saw one long-running task without a run for 24 s, and no line told which state of the leader held it: step_waits exists for want of room only, and names the first task of a step without a worker.

The leader now explains each long-running task that has no run at work: task_stands after 1, 2, 4, 8 s with one of ten reasons, and standing_tasks with the number by reason each second.

--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -40,6 +40,10 @@
 inline constexpr LogEventDefinition kStepHeldAfterCrash{
     9217, LogSeverity::kInfo, "step_held_after_crash"};
 
+inline constexpr LogEventDefinition kTaskStands{9221, LogSeverity::kInfo,
+                                                "task_stands"};
+inline constexpr LogEventDefinition kStandingTasks{9222, LogSeverity::kInfo,
+                                                   "standing_tasks"};
 inline constexpr LogEventDefinition kWorkerCrashCounted{
     9220, LogSeverity::kWarning, "worker_crash_counted"};
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -248,6 +248,7 @@
   ReleaseDueJobs();
   StepWorkers(now);
   PlaceReadyTasks(state, now);
+  ReportStandingTasks(now);
   return std::exchange(orders_, {});
 }
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/latency_interference_model.h"
 #include "packages/dispatch/ready_steps.h"
+#include "packages/dispatch/standing_task.h"
 #include "packages/dispatch/tracked_job.h"
 #include "packages/dispatch/tracked_worker.h"
 #include "packages/dispatch/worker_order.h"
@@ -137,6 +138,8 @@
   // Returns the first task that would stand still: one that is active without a
   // run on its worker, or ready and not among the tasks to place. For tests.
   std::optional<std::string> FindInconsistency() const;
+  // Long-running tasks whose turn has come and that have no run at work.
+  std::vector<StandingTask> FindStandingTasks(MonotonicTime now) const;
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
@@ -183,6 +186,10 @@
     FailedRequests failed;
   };
   void PlaceReadyTasks(const QueueState& state, MonotonicTime now);
+  // Whether the step waits for workers that may run any task of its job.
+  bool IsHeldByTakeover(TrackedJob* job,
+                        const TaskName& step,
+                        MonotonicTime now) const;
   // Places the ready tasks of the job step that `task` names.
   void PlaceStep(TaskName task,
                  TrackedJob* job,
@@ -201,6 +208,13 @@
                             TrackedJob* job,
                             const TaskName& first,
                             PlacementPass* pass);
+  std::optional<StandingTask> ExplainActiveTask(const TaskName& name,
+                                                const TrackedTask& task) const;
+  StandingTask ExplainReadyTask(TrackedJob* job,
+                                const TaskName& name,
+                                MonotonicTime now) const;
+  // Logs which long-running tasks stand still, and why.
+  void ReportStandingTasks(MonotonicTime now);
   static Milliseconds WaitOf(const TrackedStep& step, MonotonicTime now);
   static void EndWait(TargetProtection protection,
                       MonotonicTime now,
@@ -293,7 +307,8 @@
   // Notes when the owner is late with a step.
   void ObserveLag(MonotonicTime now);
   bool HasLaggedSince(MonotonicTime time, MonotonicTime now) const;
-  bool AllWorkersContacted(MonotonicTime now);
+  // Notes when no worker may have an unknown run of an earlier leader.
+  void CheckEarlierRuns(MonotonicTime now);
   // Logs once which workers have not responded and may have earlier runs.
   void ReportHeldRuns(MonotonicTime now);
   // After this time, all leases that earlier leaders granted have expired.
@@ -358,6 +373,13 @@
   MonotonicTime last_lag_;  // When the owner was last late with a step.
   Milliseconds longest_wait_{0};
   MonotonicTime next_resume_;  // Of the steps that wait for a worker.
+  // Since when a task has stood still, and how often that was logged.
+  struct StandingSince {
+    MonotonicTime time;
+    int reports = 0;
+  };
+  std::map<TaskName, StandingSince> standing_since_;
+  MonotonicTime next_standing_check_;
   bool synchronized_ = false;
   // Of the state that was last applied.
   uint64_t workers_revision_ = 0;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -36,8 +36,23 @@
              : Milliseconds(0);
 }
 
+bool Dispatcher::IsHeldByTakeover(TrackedJob* job,
+                                  const TaskName& step,
+                                  MonotonicTime now) const {
+  if (all_workers_contacted_ ||
+      job->earlier_runs() == TrackedJob::EarlierRuns::kNone) {
+    return false;
+  }
+  // A worker that is not contacted yet may run any task that an earlier leader
+  // started without a record.
+  const bool recorded =
+      job->earlier_runs() == TrackedJob::EarlierRuns::kRecorded &&
+      job->step(step).long_running;
+  return !recorded || now - takeover_time_ < kContactTime;
+}
+
 void Dispatcher::PlaceReadyTasks(const QueueState& state, MonotonicTime now) {
-  const bool all_contacted = AllWorkersContacted(now);
+  CheckEarlierRuns(now);
   PlacementPass pass{.now = now,
                      .starts_left = kMaximumStartsPerStep,
                      .attempts_left = kMaximumAttemptsPerStep};
@@ -52,17 +67,8 @@
     const auto& [key, job] = *position++;
     const TrackedStep& step = job->step_record(key.occurrence, key.step);
     longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
-    // A worker that is not contacted yet may run any task that an earlier
-    // leader started without a record.
     const TaskName first{key.job, key.occurrence, key.step, 0};
-    const bool recorded =
-        job->earlier_runs() == TrackedJob::EarlierRuns::kRecorded &&
-        job->step(first).long_running;
-    const bool blocked =
-        !all_contacted &&
-        job->earlier_runs() != TrackedJob::EarlierRuns::kNone &&
-        (!recorded || now - takeover_time_ < kContactTime);
-    if (!blocked) {
+    if (!IsHeldByTakeover(job, first, now)) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
         pool->second = WorkerSelector::FindEligible(workers_, pool->first,
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -85,9 +85,9 @@
   return ended;
 }
 
-bool Dispatcher::AllWorkersContacted(MonotonicTime now) {
+void Dispatcher::CheckEarlierRuns(MonotonicTime now) {
   if (all_workers_contacted_) {
-    return true;
+    return;
   }
   int64_t not_contacted = 0;
   bool resolved = true;
@@ -106,7 +106,6 @@
                                     {"unheard", not_contacted},
                                     {"waited_ms", waited.count()}});
   }
-  return all_workers_contacted_;
 }
 
 void Dispatcher::ReportHeldRuns(MonotonicTime now) {
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -99,6 +99,11 @@
   return found == runs_.end() ? nullptr : &found->second;
 }
 
+const TrackedRun* TrackedWorker::FindRun(const RunKey& key) const {
+  const auto found = runs_.find(key);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
 bool TrackedWorker::HasRecentRun(MonotonicTime now) const {
   return std::any_of(runs_.begin(), runs_.end(), [now](const auto& item) {
     return now - item.second.started < kCrashAttributionTime;
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -118,6 +118,7 @@
   TrackedRun& AddRun(const RunKey& key, TrackedRun run);
   void RemoveRun(const RunKey& key);
   TrackedRun* FindRun(const RunKey& key);
+  const TrackedRun* FindRun(const RunKey& key) const;
   std::map<RunKey, TrackedRun>& runs() { return runs_; }
   const std::map<RunKey, TrackedRun>& runs() const { return runs_; }
   const ResourceAmounts& reserved() const { return reserved_; }
