Dispatch: Reserve workers for long-running tasks that wait for room

Callers saw a long-running task that did not run, with room for it.

Only the tasks of the step start there.

Why it works: the room on a reserved worker only grows, and the runs there that are not long-running end by themselves.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -190,6 +190,17 @@
   bool IsHeldByTakeover(TrackedJob* job,
                         const TaskName& step,
                         MonotonicTime now) const;
+  // Ends reservations that are of no use any more, and reserves workers for
+  // long-running tasks that wait for room. Call after a pass that has tried all
+  // steps.
+  void UpdateReservations(const PlacementPass& pass);
+  void EndReservations(const PlacementPass& pass);
+  void Reserve(TrackedWorker* worker,
+               const TaskName& step,
+               const TrackedStep& tracked_step,
+               MonotonicTime now);
+  // Whether a worker is reserved for the step of the task.
+  bool IsReservedFor(TaskName task) const;
   // Places the ready tasks of the job step that `task` names.
   void PlaceStep(TaskName task,
                  TrackedJob* job,
@@ -350,6 +361,8 @@
   MonotonicTime next_worker_sweep_;
   std::map<std::string, std::unique_ptr<TrackedJob>, std::less<>> jobs_;
   ReadySteps ready_;
+  // By the first task of a step, how many workers are reserved for it.
+  std::map<TaskName, size_t> reservations_;
   // When the next occurrence of a job is due, and the job.
   std::set<std::pair<int64_t, std::string>> releases_;
   std::vector<WorkerOrder> orders_;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -56,7 +56,8 @@
   PlacementPass pass{.now = now,
                      .starts_left = kMaximumStartsPerStep,
                      .attempts_left = kMaximumAttemptsPerStep};
-  if (now >= next_resume_) {
+  const bool retries_all = now >= next_resume_;
+  if (retries_all) {
     ready_.Resume(unix_ms_);
     next_resume_ = now + kPlacementRetryInterval;
     longest_wait_ = Milliseconds(0);
@@ -77,6 +78,9 @@
       PlaceStep(first, job, pool->second, &pass);
     }
   }
+  if (retries_all) {
+    UpdateReservations(pass);
+  }
 }
 
 void Dispatcher::PlaceStep(TaskName task,
@@ -179,6 +183,7 @@
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
                         {"not_isolated", rejections.not_isolated},
+                        {"reserved", rejections.reserved},
                         {"no_capacity", rejections.no_capacity},
                         {"best_effort_full", rejections.best_effort_full},
                         {"label_missing", rejections.label_missing},
@@ -207,7 +212,8 @@
                         suspected,
                         suspected && waited < kMaximumIsolationWait,
                         now};
-  if (!*ranking) {
+  // A worker that rejected another step may be reserved for this one.
+  if (!*ranking && !IsReservedFor(task)) {
     if (const WorkerRejections* rejections = pass->failed.Find(request)) {
       return {.rejections = *rejections};
     }
--- a/packages/dispatch/ready_steps.h
+++ b/packages/dispatch/ready_steps.h
@@ -44,6 +44,7 @@
 
   // Without the deferred ones.
   const Map& steps() const { return steps_; }
+  const Map& deferred_steps() const { return deferred_; }
   size_t task_count() const { return task_count_; }
 
  private:
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -180,6 +180,10 @@
   // The worker gets no further task under which a worker has crashed: a crash
   // would count against both again.
   MonotonicTime suspect_until;
+  // The step, by its first task, for whose long-running tasks the worker keeps
+  // the room that becomes free. Only these tasks start there.
+  std::optional<TaskName> reserved_for;
+  MonotonicTime reserved_since;
   // Crashes that count if this incarnation turns out to have ended: of runs
   // that were lost since the last response.
   std::vector<PossibleCrash> possible_crashes;
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -61,6 +61,11 @@
 // still avoids.
 constexpr double kMissedTargetWeight = 4.0;
 
+bool IsOfStep(const TaskName& task, const TaskName& step) {
+  return task.job == step.job && task.occurrence == step.occurrence &&
+         task.step == step.step;
+}
+
 bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
   return std::find(worker.labels.begin(), worker.labels.end(), label) !=
          worker.labels.end();
@@ -78,20 +83,6 @@
          std::max(available, 1.0);
 }
 
-bool HasCapacityFor(const TrackedWorker& worker, const JobStep& step) {
-  if (worker.HasRunOfUnknownSize()) {
-    return false;
-  }
-  ResourceAmounts needed = worker.reserved();
-  const ResourceAmounts& capacity = worker.registration().capacity;
-  needed.memory_mib += step.size.memory_mib;
-  needed.accelerators += step.size.accelerators;
-  if (!step.best_effort) {
-    needed.processor_millis += step.size.processor_millis;
-  }
-  return needed.FitsInto(capacity);
-}
-
 // Share of the image among the latency-sensitive runs on the worker.
 double SameImageShare(const TrackedWorker& worker, const std::string& image) {
   double with_target = 0;
@@ -137,6 +128,21 @@
   return limit_percent;
 }
 
+bool WorkerSelector::HasCapacityFor(const TrackedWorker& worker,
+                                    const JobStep& step) {
+  if (worker.HasRunOfUnknownSize()) {
+    return false;
+  }
+  ResourceAmounts needed = worker.reserved();
+  const ResourceAmounts& capacity = worker.registration().capacity;
+  needed.memory_mib += step.size.memory_mib;
+  needed.accelerators += step.size.accelerators;
+  if (!step.best_effort) {
+    needed.processor_millis += step.size.processor_millis;
+  }
+  return needed.FitsInto(capacity);
+}
+
 bool WorkerSelector::IsInOtherRegion(const std::string& failure_domain) const {
   const auto region = options_.region_of_failure_domain.find(failure_domain);
   return region != options_.region_of_failure_domain.end() &&
@@ -227,6 +233,10 @@
     ++rejections->not_isolated;
     return std::nullopt;
   }
+  if (worker->reserved_for && !IsOfStep(request.task, *worker->reserved_for)) {
+    ++rejections->reserved;
+    return std::nullopt;
+  }
   if (!HasCapacityFor(*worker, step)) {
     ++rejections->no_capacity;
     return std::nullopt;
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -42,6 +42,7 @@
   int64_t ineligible = 0;  // See IsEligible().
   // See WorkerRequest::isolated, and TrackedWorker::suspect_until.
   int64_t not_isolated = 0;
+  int64_t reserved = 0;          // For another step.
   int64_t no_capacity = 0;       // Memory, accelerators or reserved processors.
   int64_t best_effort_full = 0;  // Best-effort runs request all that is unused.
   int64_t label_missing = 0;
@@ -101,6 +102,9 @@
                                  const TrackedWorker& worker,
                                  const LatencyInterferenceModel& model);
 
+  // Whether the worker has room for one more run of the step now.
+  static bool HasCapacityFor(const TrackedWorker& worker, const JobStep& step);
+
   bool IsInOtherRegion(const std::string& failure_domain) const;
 
   // Whether the worker accepts new runs of this pool.
