Dispatch: Start long-running tasks on failing workers as a last resort

Callers saw a long-running task that did not run, with room for it. A worker on which three runs in a row have failed gets no new run for 8 s.

A worker that fails is now kept apart from one that accepts no runs. A long-running task for which no other worker has room starts there: it has no last attempt that could be used up. Ordinary tasks still wait.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -209,6 +209,14 @@
   // Start the task, or the gang. Without a worker for the task, or for a member
   // of the gang, the selection says why. `ranking` is shared by the tasks of a
   // step and built here when needed.
+  WorkerRequest MakeRequest(TrackedJob* job,
+                            const TaskName& task,
+                            Milliseconds waited,
+                            MonotonicTime now) const;
+  WorkerSelection PlaceOnFailingWorker(const EligibleWorkers& eligible,
+                                       TrackedJob* job,
+                                       const TaskName& task,
+                                       PlacementPass* pass);
   WorkerSelection PlaceTask(const EligibleWorkers& eligible,
                             TrackedJob* job,
                             const TaskName& task,
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -108,10 +108,16 @@
       held_after_crash = true;
       continue;
     }
-    const WorkerSelection selection =
+    WorkerSelection selection =
         job->step(task).gang
             ? PlaceGang(eligible, job, task, pass)
             : PlaceTask(eligible, job, task, WaitOf(step, now), &ranking, pass);
+    // A long-running task has no last attempt that a failing worker could use
+    // up.
+    if (selection.worker == nullptr && !eligible.failing.empty() &&
+        job->step(task).long_running && !job->step(task).gang) {
+      selection = PlaceOnFailingWorker(eligible, job, task, pass);
+    }
     if (selection.worker == nullptr) {
       ReportWait(*job, task, selection.rejections, now, &step);
       ready_.Defer(job, task);
@@ -192,6 +198,43 @@
                         {"low_headroom", rejections.low_headroom}});
 }
 
+WorkerRequest Dispatcher::MakeRequest(TrackedJob* job,
+                                      const TaskName& task,
+                                      Milliseconds waited,
+                                      MonotonicTime now) const {
+  const JobStep& step = job->step(task);
+  const bool suspected = job->FailureRecordOf(task).crash_suspected;
+  return {&job->job(),
+          &step,
+          task,
+          job->task(task).avoid_worker,
+          step.data_rack,
+          Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
+          waited,
+          suspected,
+          suspected && waited < kMaximumIsolationWait,
+          now};
+}
+
+WorkerSelection Dispatcher::PlaceOnFailingWorker(
+    const EligibleWorkers& eligible,
+    TrackedJob* job,
+    const TaskName& task,
+    PlacementPass* pass) {
+  --pass->attempts_left;
+  counters_.worker_ratings += eligible.failing.size();
+  const WorkerSelection selection = selector_.Select(
+      MakeRequest(job, task, WaitOf(job->step_record(task), pass->now),
+                  pass->now),
+      {.workers = eligible.failing, .ineligible = eligible.ineligible},
+      interference_model_);
+  if (selection.worker != nullptr) {
+    StartRun(job, task, NextRunNumber(job->task(task)), selection.worker,
+             pass->now);
+  }
+  return selection;
+}
+
 WorkerSelection Dispatcher::PlaceTask(const EligibleWorkers& eligible,
                                       TrackedJob* job,
                                       const TaskName& task,
@@ -200,18 +243,8 @@
                                       PlacementPass* pass) {
   const MonotonicTime now = pass->now;
   const JobStep& step = job->step(task);
-  TrackedTask& tracked_task = job->task(task);
-  const bool suspected = job->FailureRecordOf(task).crash_suspected;
-  WorkerRequest request{&job->job(),
-                        &step,
-                        task,
-                        tracked_task.avoid_worker,
-                        step.data_rack,
-                        Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
-                        waited,
-                        suspected,
-                        suspected && waited < kMaximumIsolationWait,
-                        now};
+  const TrackedTask& tracked_task = job->task(task);
+  WorkerRequest request = MakeRequest(job, task, waited, now);
   // A worker that rejected another step may be reserved for this one.
   if (!*ranking && !IsReservedFor(task)) {
     if (const WorkerRejections* rejections = pass->failed.Find(request)) {
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -294,10 +294,10 @@
                                MonotonicTime now) {
   ++worker->consecutive_failures;
   if (worker->consecutive_failures < kConsecutiveFailureLimit ||
-      now < worker->avoid_until) {
+      now < worker->avoid_until || now < worker->failing_until) {
     return;
   }
-  worker->avoid_until = now + kAvoidanceTime;
+  worker->failing_until = now + kAvoidanceTime;
   LogEvent(kWorkerAvoided, {{"worker", worker->registration().id},
                             {"failures", worker->consecutive_failures},
                             {"reason", reason},
--- /dev/null
+++ b/packages/dispatch/tests/failing_worker_test.cc
@@ -0,0 +1,65 @@
+// Workers that get no new runs, or reject them, because of earlier failures.
+
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "packages/dispatch/fakes/fake_pool.h"
+#include "packages/dispatch/tests/one_worker_fixture.h"
+
+namespace bramleyrail {
+namespace {
+
+constexpr Milliseconds kLongEnough{30'000};
+// A long-running task counts as lost when it has not run for 3 s.
+constexpr Milliseconds kMaximumWait{3'000};
+
+JobSpecification LongRunningJob(int tasks, int64_t processor_millis) {
+  JobSpecification job = FakePool::Job(tasks, 1);
+  job.steps[0].long_running = true;
+  job.steps[0].size.processor_millis = processor_millis;
+  return job;
+}
+
+TEST_GROUP_BASE(FailingWorker, OneWorkerFixture){};
+
+// LOST: fails when a long-running task waits for 8 s after the failures of the
+// only worker with room have ended.
+TEST(FailingWorker, IsTheLastResortOfALongRunningTask) {
+  FakePool pool({.workers = 3});
+  pool.Submit("full", LongRunningJob(2, 8'000));
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 2; }, kLongEnough));
+  for (int worker = 0; worker < 3; ++worker) {
+    pool.FailAll(worker, true);
+  }
+  pool.Submit("failing", FakePool::Job(1, 1));
+  CHECK(pool.RunUntil(
+      [&] { return pool.Outcome("failing") == JobOutcome::kFailed; },
+      kLongEnough));
+  pool.Submit("job", LongRunningJob(1, 1'000));
+  CHECK(pool.RunUntil(
+      [&] {
+        return pool.IsRunning({"job", 0, 0, 0});
+      },
+      kMaximumWait));
+}
+
+// Fails when the attempts of an ordinary task are used up on such a worker,
+// although another one will have room.
+TEST(FailingWorker, GetsNoOrdinaryTask) {
+  FakePool pool({.workers = 3});
+  pool.Submit("full", LongRunningJob(2, 8'000));
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 2; }, kLongEnough));
+  for (int worker = 0; worker < 3; ++worker) {
+    pool.FailAll(worker, true);
+  }
+  pool.Submit("failing", FakePool::Job(1, 1));
+  CHECK(pool.RunUntil(
+      [&] { return pool.Outcome("failing") == JobOutcome::kFailed; },
+      kLongEnough));
+  pool.Submit("job", FakePool::Job(1, 1));
+  pool.RunFor(kMaximumWait);
+  CHECK_FALSE(pool.dispatcher().HasStarted("job"));
+}
+
+}  // namespace
+}  // namespace bramleyrail
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -175,6 +175,9 @@
   // The worker gets no new runs before this time.
   MonotonicTime avoid_until;
   int consecutive_failures = 0;
+  // After that many failures, the worker gets new runs before this time only
+  // when there is no other worker. See WorkerSelector::FindEligible().
+  MonotonicTime failing_until;
   // The worker gets no new runs beside one that may crash it.
   MonotonicTime isolated_until;
   // The worker gets no further task under which a worker has crashed: a crash
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -207,12 +207,14 @@
     MonotonicTime now) {
   EligibleWorkers eligible;
   for (const auto& [id, worker] : workers) {
-    if (IsEligible(*worker, pool, evacuated, now)) {
-      eligible.workers.push_back(worker.get());
-    } else {
+    if (!IsEligible(*worker, pool, evacuated, now)) {
       ++eligible.ineligible;
+      continue;
     }
+    (now < worker->failing_until ? eligible.failing : eligible.workers)
+        .push_back(worker.get());
   }
+  eligible.ineligible += static_cast<int64_t>(eligible.failing.size());
   return eligible;
 }
 
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -67,7 +67,9 @@
 // The workers of a pool that accept new runs, in the order of their ids.
 struct EligibleWorkers {
   std::vector<TrackedWorker*> workers;
-  int64_t ineligible = 0;  // Number of the other workers.
+  // Workers that would accept them, but have failed several times in a row.
+  std::vector<TrackedWorker*> failing;
+  int64_t ineligible = 0;  // Number of all workers but those in `workers`.
 };
 
 // Selects workers by capacity, labels, rack, region, recent failures and
@@ -107,7 +109,7 @@
 
   bool IsInOtherRegion(const std::string& failure_domain) const;
 
-  // Whether the worker accepts new runs of this pool.
+  // Whether the worker accepts new runs of this pool, unless it is failing.
   static bool IsEligible(const TrackedWorker& worker,
                          const std::string& pool,
                          const std::set<std::string>& evacuated,
