Dispatch: Do not avoid most workers of a pool at the same time

When the tasks themselves fail, each worker in turn has three failures in a row and is avoided for 8 s, so that all tasks of the pool wait although nothing is wrong with its workers.

When more workers of a pool are failing than not, the failures say little about the workers, and all of them get new runs.

Evidence: FailingWorker.MostWorkersAreNotAvoidedTogether fails with the rule taken out and passes with it.

--- a/packages/dispatch/tests/failing_worker_test.cc
+++ b/packages/dispatch/tests/failing_worker_test.cc
@@ -61,5 +61,27 @@
   CHECK_FALSE(pool.dispatcher().HasStarted("job"));
 }
 
+// Fails when tasks wait because all workers are failing: such failures say
+// little about the workers.
+TEST(FailingWorker, MostWorkersAreNotAvoidedTogether) {
+  FakePool pool({.workers = 2});
+  for (int worker = 0; worker < 2; ++worker) {
+    pool.FailAll(worker, true);
+  }
+  for (int job = 0; job < 4; ++job) {
+    pool.Submit(absl::StrCat("failing", job), FakePool::Job(1, 1));
+  }
+  CHECK(pool.RunUntil(
+      [&] { return pool.Outcome("failing3") == JobOutcome::kFailed; },
+      kLongEnough));
+  for (int worker = 0; worker < 2; ++worker) {
+    pool.FailAll(worker, false);
+  }
+  pool.Submit("job", FakePool::Job(1, 1));
+  CHECK(pool.RunUntil(
+      [&] { return pool.Outcome("job") == JobOutcome::kCompleted; },
+      kMaximumWait));
+}
+
 }  // namespace
 }  // namespace bramleyrail
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -1,6 +1,7 @@
 #include "packages/dispatch/worker_selector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleyrail {
 
@@ -205,15 +206,21 @@
     const std::string& pool,
     const std::set<std::string>& evacuated,
     MonotonicTime now) {
+  std::vector<TrackedWorker*> all;
   EligibleWorkers eligible;
   for (const auto& [id, worker] : workers) {
     if (!IsEligible(*worker, pool, evacuated, now)) {
       ++eligible.ineligible;
       continue;
     }
+    all.push_back(worker.get());
     (now < worker->failing_until ? eligible.failing : eligible.workers)
         .push_back(worker.get());
   }
+  if (eligible.failing.size() > eligible.workers.size()) {
+    eligible.workers = std::move(all);
+    eligible.failing.clear();
+  }
   eligible.ineligible += static_cast<int64_t>(eligible.failing.size());
   return eligible;
 }
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -83,6 +83,8 @@
 
   explicit WorkerSelector(Options options) : options_(std::move(options)) {}
 
+  // When more workers are failing than not, the failures say little about the
+  // workers, and all of them are in `workers`.
   static EligibleWorkers FindEligible(const TrackedWorkers& workers,
                                       const std::string& pool,
                                       const std::set<std::string>& evacuated,
