Dispatch: Repeat a rejected start on another worker

A start that a worker rejects for a reason other than room or health, say as invalid, is ordered again after 1 s. Nothing kept the worker from being chosen again: for the same task it has the best score again, so one task could stand still for as long as that worker rejects it, while its neighbours run.

The task now avoids the worker of the rejected start, as it does after a failure.

Evidence: FailingWorker.RejectedStartIsOrderedFromAnotherWorker failed before (the second start went to the same worker) and passes.

--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -119,6 +119,9 @@
       break;
     default:
       pause = kInvalidPause;
+      if (TrackedJob* job = FindJob(task.job)) {
+        job->task(task).avoid_worker = address.id;
+      }
       break;
   }
   worker->RemoveRun(key);
--- a/packages/dispatch/tests/failing_worker_test.cc
+++ b/packages/dispatch/tests/failing_worker_test.cc
@@ -83,5 +83,32 @@
       kMaximumWait));
 }
 
+// LOST: fails when a start that a worker has rejected for a reason of its own
+// is ordered from the same worker again and again.
+TEST(FailingWorker, RejectedStartIsOrderedFromAnotherWorker) {
+  AddOtherWorker();
+  SubmitOneLongRunningTask();
+  std::string rejecting;
+  for (int start = 0; start < 2; ++start) {
+    std::string worker;
+    for (int steps = 0; worker.empty() && steps < 300; ++steps) {
+      now_ += Milliseconds(10);
+      for (const WorkerOrder& order :
+           StepAndRecord(dispatcher_.get(), &state_, now_, kUnixMs)) {
+        if (const auto* body = std::get_if<StartOrder>(&order.body)) {
+          worker = order.worker.id;
+          dispatcher_->HandleStartResponse(order.worker, body->task, body->run,
+                                           OrderOutcome::kInvalid, now_);
+        } else if (std::holds_alternative<LeaseRenewalOrder>(order.body)) {
+          RespondFrom(order.worker);
+        }
+      }
+    }
+    CHECK_FALSE(worker.empty());
+    CHECK(worker != rejecting);
+    rejecting = worker;
+  }
+}
+
 }  // namespace
 }  // namespace bramleyrail
