Dispatch: Place the tasks behind one that needs an isolated worker

After a crash, a suspected task needs a worker without recent runs for 1 s, and one that runs no other suspected task. The placement of a step ended with the first task that found no worker, so the other tasks of a long-running step stood still behind it although they fitted.

The placement now goes on with the tasks of the step that are not suspected, and tries one suspected task of a step in a pass, as before.

--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -94,6 +94,7 @@
   }
   std::optional<WorkerRanking> ranking;
   bool held_after_crash = false;
+  bool without_worker = false;
   // Placing a task removes its index, or those of its gang.
   for (auto index = step.ready_tasks.begin();
        index != step.ready_tasks.end() && !pass->IsOver();
@@ -108,6 +109,10 @@
       held_after_crash = true;
       continue;
     }
+    const bool suspected = job->FailureRecordOf(task).crash_suspected;
+    if (suspected && without_worker) {
+      continue;
+    }
     WorkerSelection selection =
         job->step(task).gang
             ? PlaceGang(eligible, job, task, pass)
@@ -120,8 +125,12 @@
     }
     if (selection.worker == nullptr) {
       ReportWait(*job, task, selection.rejections, now, &step);
-      ready_.Defer(job, task);
-      break;
+      without_worker = true;
+      // The other tasks of the step need no worker without recent runs.
+      if (!suspected || job->step(task).gang) {
+        break;
+      }
+      continue;
     }
     --pass->starts_left;
     EndWait(selection.protection, now, &step);
@@ -130,6 +139,9 @@
       ranking.reset();
     }
   }
+  if (without_worker) {
+    ready_.Defer(job, task);
+  }
   if (!held_after_crash) {
     step.held_since.reset();
     step.held_reports = 0;
--- a/packages/dispatch/dispatcher_standing_tasks.cc
+++ b/packages/dispatch/dispatcher_standing_tasks.cc
@@ -85,6 +85,7 @@
     first.index = index;
     if (index < name.index && !job->step(name).gang &&
         now >= step.tasks[index].not_before &&
+        !step.tasks[index].crash_suspected &&
         !IsHeldAfterCrash(job, first, &step)) {
       standing.reason = StandingReason::kOtherTask;
       standing.behind = index;
