--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -36,12 +36,28 @@
              : Milliseconds(0);
 }
 
+bool Dispatcher::IsHeldByTakeover(TrackedJob* job,
+                                  const TaskName& step,
+                                  MonotonicTime now) const {
+  if (all_workers_contacted_ ||
+      job->earlier_runs() == TrackedJob::EarlierRuns::kNone) {
+    return false;
+  }
+  // A worker that is not contacted yet may run any task that an earlier leader
+  // started without a record.
+  const bool recorded =
+      job->earlier_runs() == TrackedJob::EarlierRuns::kRecorded &&
+      job->step(step).long_running;
+  return !recorded || now - takeover_time_ < kContactTime;
+}
+
 void Dispatcher::PlaceReadyTasks(const QueueState& state, MonotonicTime now) {
-  const bool all_contacted = AllWorkersContacted(now);
+  CheckEarlierRuns(now);
   PlacementPass pass{.now = now,
                      .starts_left = kMaximumStartsPerStep,
                      .attempts_left = kMaximumAttemptsPerStep};
-  if (now >= next_resume_) {
+  const bool retries_all = now >= next_resume_;
+  if (retries_all) {
     ready_.Resume(unix_ms_);
     next_resume_ = now + kPlacementRetryInterval;
     longest_wait_ = Milliseconds(0);
@@ -52,17 +68,8 @@
     const auto& [key, job] = *position++;
     const TrackedStep& step = job->step_record(key.occurrence, key.step);
     longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
-    // A worker that is not contacted yet may run any task that an earlier
-    // leader started without a record.
     const TaskName first{key.job, key.occurrence, key.step, 0};
-    const bool recorded =
-        job->earlier_runs() == TrackedJob::EarlierRuns::kRecorded &&
-        job->step(first).long_running;
-    const bool blocked =
-        !all_contacted &&
-        job->earlier_runs() != TrackedJob::EarlierRuns::kNone &&
-        (!recorded || now - takeover_time_ < kContactTime);
-    if (!blocked) {
+    if (!IsHeldByTakeover(job, first, now)) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
         pool->second = WorkerSelector::FindEligible(workers_, pool->first,
@@ -71,6 +78,9 @@
       PlaceStep(first, job, pool->second, &pass);
     }
   }
+  if (retries_all) {
+    UpdateReservations(pass);
+  }
 }
 
 void Dispatcher::PlaceStep(TaskName task,
@@ -84,6 +94,7 @@
   }
   std::optional<WorkerRanking> ranking;
   bool held_after_crash = false;
+  bool without_worker = false;
   // Placing a task removes its index, or those of its gang.
   for (auto index = step.ready_tasks.begin();
        index != step.ready_tasks.end() && !pass->IsOver();
@@ -98,14 +109,28 @@
       held_after_crash = true;
       continue;
     }
-    const WorkerSelection selection =
+    const bool suspected = job->FailureRecordOf(task).crash_suspected;
+    if (suspected && without_worker) {
+      continue;
+    }
+    WorkerSelection selection =
         job->step(task).gang
             ? PlaceGang(eligible, job, task, pass)
             : PlaceTask(eligible, job, task, WaitOf(step, now), &ranking, pass);
+    // A long-running task has no last attempt that a failing worker could use
+    // up.
+    if (selection.worker == nullptr && !eligible.failing.empty() &&
+        job->step(task).long_running && !job->step(task).gang) {
+      selection = PlaceOnFailingWorker(eligible, job, task, pass);
+    }
     if (selection.worker == nullptr) {
       ReportWait(*job, task, selection.rejections, now, &step);
-      ready_.Defer(job, task);
-      break;
+      without_worker = true;
+      // The other tasks of the step need no worker without recent runs.
+      if (!suspected || job->step(task).gang) {
+        break;
+      }
+      continue;
     }
     --pass->starts_left;
     EndWait(selection.protection, now, &step);
@@ -114,6 +139,9 @@
       ranking.reset();
     }
   }
+  if (without_worker) {
+    ready_.Defer(job, task);
+  }
   if (!held_after_crash) {
     step.held_since.reset();
     step.held_reports = 0;
@@ -173,6 +201,7 @@
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
                         {"not_isolated", rejections.not_isolated},
+                        {"reserved", rejections.reserved},
                         {"no_capacity", rejections.no_capacity},
                         {"best_effort_full", rejections.best_effort_full},
                         {"label_missing", rejections.label_missing},
@@ -181,6 +210,43 @@
                         {"low_headroom", rejections.low_headroom}});
 }
 
+WorkerRequest Dispatcher::MakeRequest(TrackedJob* job,
+                                      const TaskName& task,
+                                      Milliseconds waited,
+                                      MonotonicTime now) const {
+  const JobStep& step = job->step(task);
+  const bool suspected = job->FailureRecordOf(task).crash_suspected;
+  return {&job->job(),
+          &step,
+          task,
+          job->task(task).avoid_worker,
+          step.data_rack,
+          Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
+          waited,
+          suspected,
+          suspected && waited < kMaximumIsolationWait,
+          now};
+}
+
+WorkerSelection Dispatcher::PlaceOnFailingWorker(
+    const EligibleWorkers& eligible,
+    TrackedJob* job,
+    const TaskName& task,
+    PlacementPass* pass) {
+  --pass->attempts_left;
+  counters_.worker_ratings += eligible.failing.size();
+  const WorkerSelection selection = selector_.Select(
+      MakeRequest(job, task, WaitOf(job->step_record(task), pass->now),
+                  pass->now),
+      {.workers = eligible.failing, .ineligible = eligible.ineligible},
+      interference_model_);
+  if (selection.worker != nullptr) {
+    StartRun(job, task, NextRunNumber(job->task(task)), selection.worker,
+             pass->now);
+  }
+  return selection;
+}
+
 WorkerSelection Dispatcher::PlaceTask(const EligibleWorkers& eligible,
                                       TrackedJob* job,
                                       const TaskName& task,
@@ -189,19 +255,10 @@
                                       PlacementPass* pass) {
   const MonotonicTime now = pass->now;
   const JobStep& step = job->step(task);
-  TrackedTask& tracked_task = job->task(task);
-  const bool suspected = job->FailureRecordOf(task).crash_suspected;
-  WorkerRequest request{&job->job(),
-                        &step,
-                        task,
-                        tracked_task.avoid_worker,
-                        step.data_rack,
-                        Milliseconds(unix_ms_ - job->LatestStartUnixMs(task)),
-                        waited,
-                        suspected,
-                        suspected && waited < kMaximumIsolationWait,
-                        now};
-  if (!*ranking) {
+  const TrackedTask& tracked_task = job->task(task);
+  WorkerRequest request = MakeRequest(job, task, waited, now);
+  // A worker that rejected another step may be reserved for this one.
+  if (!*ranking && !IsReservedFor(task)) {
     if (const WorkerRejections* rejections = pass->failed.Find(request)) {
       return {.rejections = *rejections};
     }
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -118,6 +118,7 @@
   TrackedRun& AddRun(const RunKey& key, TrackedRun run);
   void RemoveRun(const RunKey& key);
   TrackedRun* FindRun(const RunKey& key);
+  const TrackedRun* FindRun(const RunKey& key) const;
   std::map<RunKey, TrackedRun>& runs() { return runs_; }
   const std::map<RunKey, TrackedRun>& runs() const { return runs_; }
   const ResourceAmounts& reserved() const { return reserved_; }
@@ -174,11 +175,18 @@
   // The worker gets no new runs before this time.
   MonotonicTime avoid_until;
   int consecutive_failures = 0;
+  // After that many failures, the worker gets new runs before this time only
+  // when there is no other worker. See WorkerSelector::FindEligible().
+  MonotonicTime failing_until;
   // The worker gets no new runs beside one that may crash it.
   MonotonicTime isolated_until;
   // The worker gets no further task under which a worker has crashed: a crash
   // would count against both again.
   MonotonicTime suspect_until;
+  // The step, by its first task, for whose long-running tasks the worker keeps
+  // the room that becomes free. Only these tasks start there.
+  std::optional<TaskName> reserved_for;
+  MonotonicTime reserved_since;
   // Crashes that count if this incarnation turns out to have ended: of runs
   // that were lost since the last response.
   std::vector<PossibleCrash> possible_crashes;
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -42,6 +42,7 @@
   int64_t ineligible = 0;  // See IsEligible().
   // See WorkerRequest::isolated, and TrackedWorker::suspect_until.
   int64_t not_isolated = 0;
+  int64_t reserved = 0;          // For another step.
   int64_t no_capacity = 0;       // Memory, accelerators or reserved processors.
   int64_t best_effort_full = 0;  // Best-effort runs request all that is unused.
   int64_t label_missing = 0;
@@ -66,7 +67,9 @@
 // The workers of a pool that accept new runs, in the order of their ids.
 struct EligibleWorkers {
   std::vector<TrackedWorker*> workers;
-  int64_t ineligible = 0;  // Number of the other workers.
+  // Workers that would accept them, but have failed several times in a row.
+  std::vector<TrackedWorker*> failing;
+  int64_t ineligible = 0;  // Number of all workers but those in `workers`.
 };
 
 // Selects workers by capacity, labels, rack, region, recent failures and
@@ -80,6 +83,8 @@
 
   explicit WorkerSelector(Options options) : options_(std::move(options)) {}
 
+  // When more workers are failing than not, the failures say little about the
+  // workers, and all of them are in `workers`.
   static EligibleWorkers FindEligible(const TrackedWorkers& workers,
                                       const std::string& pool,
                                       const std::set<std::string>& evacuated,
@@ -101,9 +106,12 @@
                                  const TrackedWorker& worker,
                                  const LatencyInterferenceModel& model);
 
+  // Whether the worker has room for one more run of the step now.
+  static bool HasCapacityFor(const TrackedWorker& worker, const JobStep& step);
+
   bool IsInOtherRegion(const std::string& failure_domain) const;
 
-  // Whether the worker accepts new runs of this pool.
+  // Whether the worker accepts new runs of this pool, unless it is failing.
   static bool IsEligible(const TrackedWorker& worker,
                          const std::string& pool,
                          const std::set<std::string>& evacuated,
