Dispatch: Count a stop as confirmed from its first confirmation

Callers saw a long-running task stand still with room for it, for as long as its worker stayed up and nothing else ended there.

Cause: a run that no list names counts as ended when a lease renewal was sent after the stop of the run was confirmed. A stop is sent again every 500 ms until the run is removed, and each confirmation replaced the time of the first. A worker responds to a renewal after 1 s while no run ends on it, so the last confirmation was always newer than the renewal, and the run was never removed. This held every task whose run had never begun: three starts without a response, or a worker that was restarted before it executed the start. A run that had begun was not concerned, because the worker lists its end. FakePool responds to renewals at once, so the random tests could not show it.

Change: the first confirmation counts. A start of the run that arrives after it is rejected, so a list of any later renewal shows whether the run is active.

--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -149,8 +149,13 @@
   }
   run->order_in_flight = false;
   if (outcome == OrderOutcome::kAccepted) {
-    // The worker rejects a start order of this run that arrives later.
-    run->confirmed = now;
+    // The worker rejects a start order of this run that arrives later. The stop
+    // is sent again every 500 ms and a renewal takes up to 1 s, so the run
+    // would never count as missing in a list if each confirmation counted as
+    // the first.
+    if (!run->confirmed) {
+      run->confirmed = now;
+    }
     worker->next_renewal = now;
     due_workers_.push_back(address.id);
   } else if (outcome == OrderOutcome::kWrongWorker) {
