Dispatch: Don't acknowledge ends between two durable batches

Callers could see a task run again after it was done: the worker forgot an end that was not durable, and the next leader never received it.

Cause: when a batch became durable before earlier ones, its number went to the first of them. Once that one was durable, the number was acknowledged, although a batch between the two was not durable. Batches are proposed again one by one after a failure, so they become durable in any order.

Change: the number goes to the last earlier batch of the worker, which in turn waits for those before it.

Test: EndsBetweenDurableBatchesAreNotAcknowledged failed before, with 3 acknowledged in place of 1, and passes with the change.

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -1,6 +1,7 @@
 // Communication with workers: lease renewals, retries of orders, lost workers.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "packages/dispatch/dispatch_events.h"
@@ -333,11 +334,12 @@
   const auto next = unconfirmed_batches_.erase(found);
   for (const auto& [id, number] : numbers) {
     // An acknowledgement covers all earlier finished runs of the worker, so it
-    // waits for the earlier batches.
+    // waits for the earlier batches, beginning with the last one: that waits
+    // for those before it.
     const auto earlier = std::find_if(
-        unconfirmed_batches_.begin(), next,
+        std::make_reverse_iterator(next), unconfirmed_batches_.rend(),
         [&id = id](const auto& item) { return item.second.contains(id); });
-    if (earlier != next) {
+    if (earlier != unconfirmed_batches_.rend()) {
       earlier->second[id] = number;
       continue;
     }
