Dispatch: Split the finished runs into batches that fit a command

By reading: no start of a long-running task is ordered by a leader whose batch of finished runs can't become durable. No user has reported this.

Cause: all ends that the leader received between two steps made one command. A command of over 4 MiB is rejected by consensus, and the loop proposed it again unchanged every 50 ms. Starts wait for all earlier batches, and workers' ends were not acknowledged. An end takes 47 bytes with a checkpoint of 16 bytes, 27 without one (measured), so this needs about 89,000 or 156,000 ends at once, or 180 workers with full lists. Sites of some 50 workers stay below that.

Change: a batch has at most 10,000 finished runs, and the loop takes batches until none is left. The acknowledgements follow the last batch of a split, and wait for the earlier ones.

Tests: BatchFitsIntoACommand and EndsAreAcknowledgedWhenAllBatchesAreDurable failed with the limit lifted, and pass with it.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -248,9 +248,12 @@
 }
 
 void DispatchLoop::ProposeFinishedRuns() {
-  auto batch = std::make_shared<Dispatcher::FinishedRunBatch>(
-      dispatcher_->TakeFinishedRuns());
-  if (batch->number != 0) {
+  while (true) {
+    auto batch = std::make_shared<Dispatcher::FinishedRunBatch>(
+        dispatcher_->TakeFinishedRuns());
+    if (batch->number == 0) {
+      return;
+    }
     ProposeBatch(std::move(batch));
   }
 }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -83,8 +83,9 @@
   std::vector<WorkerOrder> Step(const QueueState& state,
                                 MonotonicTime now,
                                 int64_t unix_ms);
-  // Returns the finished runs that were received since the last call. The batch
-  // has the number 0 when there is nothing to acknowledge.
+  // Returns finished runs that were received since the last call, as many as
+  // fit into one command. Call until the batch has the number 0: there is
+  // nothing more to acknowledge then.
   FinishedRunBatch TakeFinishedRuns();
   void MarkFinishedRunsDurable(uint64_t batch);
   // Returns the placements since the last call. The batch has the number 0 when
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -50,6 +50,9 @@
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
 constexpr Milliseconds kAvoidanceTime{8'000};
+// Keeps a batch far below the size of the largest command that can be
+// proposed, 4 MiB: a finished run takes about 50 bytes.
+constexpr int64_t kMaximumFinishedRunsPerBatch = 10'000;
 
 }  // namespace
 
@@ -320,8 +323,21 @@
     return batch;
   }
   batch.number = ++last_batch_;
-  batch.finished_runs = std::exchange(finished_runs_, {});
-  unconfirmed_batches_[batch.number] = std::exchange(received_through_, {});
+  std::map<std::string, int64_t>& numbers = unconfirmed_batches_[batch.number];
+  if (std::ssize(finished_runs_) <= kMaximumFinishedRunsPerBatch) {
+    batch.finished_runs = std::exchange(finished_runs_, {});
+    numbers = std::exchange(received_through_, {});
+    return batch;
+  }
+  const auto end = finished_runs_.begin() + kMaximumFinishedRunsPerBatch;
+  batch.finished_runs.assign(std::make_move_iterator(finished_runs_.begin()),
+                             std::make_move_iterator(end));
+  finished_runs_.erase(finished_runs_.begin(), end);
+  // This batch acknowledges nothing, but the acknowledgements of the last one
+  // wait for it.
+  for (const auto& [id, number] : received_through_) {
+    numbers[id] = 0;
+  }
   return batch;
 }
 
