Dispatch: Add a known failure: an unreadable end holds its task

A long-running task stands still while the end of its run is the last one that the worker lists and cannot be read: an incomplete list shows nothing about runs that are missing in it, and the leader goes on renewing the lease.

--- a/packages/dispatch/tests/late_order_test.cc
+++ b/packages/dispatch/tests/late_order_test.cc
@@ -22,6 +22,8 @@
 // After the last lease of a silent worker: the renewals that grant leases until
 // the silence shows, a slow clock, the margin, and the confirming renewal.
 constexpr Milliseconds kSilenceAfterLease{1'000 + 100 + 400 + 1'000 + 400};
+// A whole lease and the above.
+constexpr Milliseconds kSilence = Milliseconds(5'000) + kSilenceAfterLease;
 constexpr Milliseconds kTakeoverSilence{5'100 + 600 + 1'000 + 400};
 constexpr Milliseconds kDelays[] = {Milliseconds(600),   Milliseconds(2'000),
                                     Milliseconds(4'000), Milliseconds(6'000),
@@ -187,6 +189,22 @@
   CHECK(RunsWithin(Milliseconds(500)));
 }
 
+// Fails when the end of a run that cannot be read holds the task for as long as
+// the worker lists it: the lease was renewed on and on.
+TEST(LateOrder, UnreadableEndDoesNotHoldItsTask) {
+  AddWorker("w", "10.0.0.1:80");
+  AddWorker("other", "10.0.0.2:80");
+  SubmitLongRunningTask();
+  CHECK(RunsWithin(kPlacement));
+  for (auto& [id, worker] : workers_) {
+    if (!worker.runs.empty()) {
+      worker.next_end_unreadable = true;
+      End(&worker, worker.runs.front(), "failed");
+    }
+  }
+  CHECK(RunsWithin(kSilence));
+}
+
 // Fails when a recorded placement whose start was lost holds its task after a
 // takeover.
 TEST(LateOrder, RecordedStartThatWasLostDoesNotHoldItsTask) {
