--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -1,6 +1,7 @@
 // Communication with workers: lease renewals, retries of orders, lost workers.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "packages/dispatch/dispatch_events.h"
@@ -49,6 +50,9 @@
 // avoidance time.
 constexpr int kConsecutiveFailureLimit = 3;
 constexpr Milliseconds kAvoidanceTime{8'000};
+// Keeps a batch far below the size of the largest command that can be
+// proposed, 4 MiB: a finished run takes about 50 bytes.
+constexpr int64_t kMaximumFinishedRunsPerBatch = 10'000;
 
 }  // namespace
 
@@ -319,8 +323,21 @@
     return batch;
   }
   batch.number = ++last_batch_;
-  batch.finished_runs = std::exchange(finished_runs_, {});
-  unconfirmed_batches_[batch.number] = std::exchange(received_through_, {});
+  std::map<std::string, int64_t>& numbers = unconfirmed_batches_[batch.number];
+  if (std::ssize(finished_runs_) <= kMaximumFinishedRunsPerBatch) {
+    batch.finished_runs = std::exchange(finished_runs_, {});
+    numbers = std::exchange(received_through_, {});
+    return batch;
+  }
+  const auto end = finished_runs_.begin() + kMaximumFinishedRunsPerBatch;
+  batch.finished_runs.assign(std::make_move_iterator(finished_runs_.begin()),
+                             std::make_move_iterator(end));
+  finished_runs_.erase(finished_runs_.begin(), end);
+  // This batch acknowledges nothing, but the acknowledgements of the last one
+  // wait for it.
+  for (const auto& [id, number] : received_through_) {
+    numbers[id] = 0;
+  }
   return batch;
 }
 
@@ -333,11 +350,12 @@
   const auto next = unconfirmed_batches_.erase(found);
   for (const auto& [id, number] : numbers) {
     // An acknowledgement covers all earlier finished runs of the worker, so it
-    // waits for the earlier batches.
+    // waits for the earlier batches, beginning with the last one: that waits
+    // for those before it.
     const auto earlier = std::find_if(
-        unconfirmed_batches_.begin(), next,
+        std::make_reverse_iterator(next), unconfirmed_batches_.rend(),
         [&id = id](const auto& item) { return item.second.contains(id); });
-    if (earlier != next) {
+    if (earlier != unconfirmed_batches_.rend()) {
       earlier->second[id] = number;
       continue;
     }
