Dispatch: Test the liveness of long-running tasks under more faults

The properties so far have no steady load, no rejected starts, no one-way cuts and no records that take long, and their fake workers have room most of the time. FakePool gains what the faults need; its defaults are unchanged.

--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -13,6 +13,8 @@
 constexpr int64_t kMaximumAttempts = 4;
 constexpr int64_t kBaselineTailMs = 8;
 constexpr int64_t kInterferenceTailMs = 90;
+// Within this time, a member of a gang notices the end of another one.
+constexpr uint64_t kMaximumGangEndMs = 300;
 
 }  // namespace
 
@@ -64,7 +66,8 @@
 }
 
 void FakePool::Apply(QueueCommandBody body) {
-  state_.Apply({kStartUnixMs, std::move(body)});
+  state_.Apply(
+      {options_.stamps_commands ? UnixMs() : kStartUnixMs, std::move(body)});
   if (dispatcher_ != nullptr) {
     dispatcher_->Synchronize(state_, now_);
   }
@@ -99,6 +102,11 @@
          std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
 }
 
+int64_t FakePool::UnixMs() const {
+  return kStartUnixMs +
+         std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
+}
+
 void FakePool::RunFor(Milliseconds duration) {
   const MonotonicTime end = now_ + duration;
   while (now_ < end && violation_.empty()) {
@@ -137,6 +145,7 @@
     Deliver(delivery);
   }
   if (now_ >= leader_resumes_) {
+    SendHeartbeats();
     ReadResponses();
     RecordDuePlacements();
     StepDispatcher(dispatcher_.get());
@@ -189,6 +198,9 @@
   if (ended != worker->highest_finished.end() && start.run <= ended->second) {
     return OrderOutcome::kRunTooOld;
   }
+  if (worker->start_rejection) {
+    return *worker->start_rejection;
+  }
   const QueuedJob* job = state_.FindJob(start.task.job);
   const JobStep& step = job->specification.steps[start.task.step];
   if (recorded_done_.contains(start.task)) {
@@ -283,6 +295,8 @@
   for (const auto& [key, run] : worker->runs) {
     if (lease_expired) {
       ended.emplace_back(key, "lapsed");
+    } else if (run.gang_ends_at && *run.gang_ends_at <= now_) {
+      ended.emplace_back(key, "gang_ended");
     } else if (run.end_time <= now_ && !run.long_running) {
       const bool fails = worker->fails_all || Random() < options_.fail_task;
       ended.emplace_back(key, fails ? "failed" : "done");
@@ -297,6 +311,7 @@
                          const RunKey& key,
                          std::string reason) {
   worker->runs.erase(key);
+  EndGangOf(key);
   uint64_t& highest = worker->highest_finished[key.first];
   highest = std::max(highest, key.second);
   ReportedFinishedRun end;
@@ -311,6 +326,25 @@
   worker->finished_at.push_back(now_);
 }
 
+void FakePool::EndGangOf(const RunKey& ended) {
+  const TaskName& task = ended.first;
+  const QueuedJob* job = state_.FindJob(task.job);
+  if (!options_.ends_gangs || job == nullptr ||
+      job->outcome != JobOutcome::kOpen ||
+      !job->specification.steps[task.step].gang) {
+    return;
+  }
+  for (Worker& worker : workers_) {
+    for (auto& [key, run] : worker.runs) {
+      if (key.second == ended.second && key.first.job == task.job &&
+          key.first.step == task.step && !run.gang_ends_at) {
+        run.gang_ends_at =
+            now_ + Milliseconds(1 + random_() % kMaximumGangEndMs);
+      }
+    }
+  }
+}
+
 void FakePool::ObserveAcknowledged(const Worker& worker,
                                    int64_t from,
                                    int64_t through) {
@@ -390,6 +424,17 @@
   return CpuLimitOf(task) >= 0;
 }
 
+int FakePool::WorkerOf(const TaskName& task) const {
+  for (size_t i = 0; i < workers_.size(); ++i) {
+    for (const auto& [key, run] : workers_[i].runs) {
+      if (key.first == task) {
+        return static_cast<int>(i);
+      }
+    }
+  }
+  return -1;
+}
+
 int64_t FakePool::CpuLimitOf(const TaskName& task) const {
   for (const Worker& worker : workers_) {
     for (const auto& [key, run] : worker.runs) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -30,8 +30,8 @@
   struct Options {
     int workers = 4;
     uint64_t seed = 1;
-    // Shares of the orders that are never executed, and that are executed up to
-    // 6 s later. The worker responds to neither.
+    // Shares of the orders that are never executed, and that are executed after
+    // a delay. The worker responds to neither.
     double lose_order = 0;
     double delay_order = 0;
     // Share of the orders that are executed and whose response is lost.
@@ -41,6 +41,25 @@
     Milliseconds lease{5'000};
     // Whether the leaders state that they record placements.
     bool records_placements = true;
+    // The longest delay of `delay_order`.
+    Milliseconds maximum_delivery_delay{6'000};
+    // How often the leader receives the clock of a worker that it can't reach
+    // by orders, too; 0: never.
+    Milliseconds heartbeat_interval{0};
+    // Whether commands carry the simulated time. Otherwise all carry the same
+    // time, long before the first step, so that ordinary jobs are late.
+    bool stamps_commands = false;
+    // When a member of a gang ends, so do its others, shortly afterwards.
+    bool ends_gangs = false;
+  };
+
+  // What is lost between the leader and one worker. Heartbeats arrive.
+  enum class Cut {
+    kNone,
+    kOrders,
+    kResponses,       // The orders are executed.
+    kStarts,          // All other orders are executed and confirmed.
+    kStartResponses,  // The same, and the starts are executed, too.
   };
 
   explicit FakePool(Options options);
@@ -58,6 +77,15 @@
   void SetPartitioned(int worker, bool partitioned) {
     workers_[worker].partitioned = partitioned;
   }
+  void SetCut(int worker, Cut cut) { workers_[worker].cut = cut; }
+  // Makes the worker reject new starts with this outcome; nullopt: none.
+  void RejectStarts(int worker, std::optional<OrderOutcome> outcome) {
+    workers_[worker].start_rejection = outcome;
+  }
+  // No placement becomes durable for this time.
+  void StallPlacements(Milliseconds duration) {
+    placements_resume_ = now_ + duration;
+  }
   // Ends the process and restarts it under the same id as a new incarnation,
   // which registers later. Orders name only the id, so the new incarnation
   // executes those that were meant for the earlier one.
@@ -96,6 +124,8 @@
   int RunsOn(int worker) const;
   int RunningTasks() const;
   bool IsRunning(const TaskName& task) const;
+  // The worker that runs the task; -1: none.
+  int WorkerOf(const TaskName& task) const;
   bool IsPartitioned(std::string_view worker) const;
   int starts() const { return starts_; }
   int64_t CpuLimitOf(const TaskName& task) const;
@@ -118,6 +148,8 @@
     int64_t target_ms = 0;
     int64_t cpu_limit_percent = 100;
     bool long_running = false;
+    // Another member of the gang has ended.
+    std::optional<MonotonicTime> gang_ends_at;
   };
   struct Worker {
     WorkerRegistration registration;
@@ -132,6 +164,8 @@
     int64_t finished_run_count = 0;
     int64_t acknowledged_through = 0;
     bool partitioned = false;
+    Cut cut = Cut::kNone;
+    std::optional<OrderOutcome> start_rejection;
     bool fails_all = false;
     bool unreadable = false;
     std::optional<MonotonicTime> registers_at;  // After a restart.
@@ -162,12 +196,17 @@
   void StepDispatcher(Dispatcher* dispatcher);
   void Send(const WorkerOrder& order);
   void RecordDuePlacements();
+  void SendHeartbeats();
+  // Whether the order, or the response to it, is lost on its way.
+  static bool IsOrderLost(const Worker& worker, const WorkerOrder& order);
+  static bool IsResponseLost(const Worker& worker, const WorkerOrder& order);
   void RecordEnds(const Dispatcher::FinishedRunBatch& batch);
   void RegisterRestartedWorkers();
   void ScheduleCrash(const TaskName& task, Worker* worker);
   void CrashDueWorkers();
   void AdvanceWorker(Worker* worker);
   void FinishRun(Worker* worker, const RunKey& key, std::string reason);
+  void EndGangOf(const RunKey& ended);
   std::pair<OrderOutcome, LeaseRenewalResponse>
   Execute(Worker* worker, const WorkerOrder& order, int64_t fence);
   OrderOutcome StartRun(Worker* worker, const StartOrder& start);
@@ -190,6 +229,7 @@
   void RecordViolation(const std::string& violation);
   double Random();
   int64_t ClockOf(const Worker& worker) const;
+  int64_t UnixMs() const;
 
   const Options options_;
   std::mt19937_64 random_;
@@ -200,6 +240,8 @@
   std::vector<Delivery> deliveries_;
   std::vector<Response> responses_;  // The leader has not read them.
   MonotonicTime leader_resumes_;
+  MonotonicTime placements_resume_;
+  MonotonicTime next_heartbeats_;
   bool losses_stopped_ = false;
   // Placements of the current leader that are not durable yet, and when they
   // are.
--- a/packages/dispatch/fakes/fake_pool_crashes.cc
+++ b/packages/dispatch/fakes/fake_pool_crashes.cc
@@ -61,11 +61,16 @@
   ++next.registration.started_unix_ms;
   next.clock_start_ms = worker.clock_start_ms;
   next.partitioned = worker.partitioned;
+  next.cut = worker.cut;
   next.unreadable = worker.unreadable;
   next.down_until = now_ + down;
   next.registers_at =
       now_ + down + Milliseconds(1 + random_() % kMaximumRegistrationDelayMs);
+  const std::map<RunKey, Run> runs = std::move(worker.runs);
   worker = std::move(next);
+  for (const auto& [key, run] : runs) {
+    EndGangOf(key);
+  }
 }
 
 void FakePool::Remove(int number) {
@@ -85,7 +90,7 @@
 
 void FakePool::SetDraining(int number) {
   workers_[number].registration.draining = true;
-  Apply(PutWorker{workers_[number].registration});
+  Register(number);
 }
 
 void FakePool::Register(int number) {
@@ -99,7 +104,7 @@
   WorkerRegistration& registration = workers_[number].registration;
   registration.capacity = capacity;
   ++registration.heartbeat_sequence;
-  Apply(PutWorker{registration});
+  Register(number);
 }
 
 }  // namespace bramleyrail
--- a/packages/dispatch/fakes/fake_pool_delivery.cc
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -9,16 +9,12 @@
 namespace {
 
 constexpr Milliseconds kResponseTimeout{1'000};
-constexpr int64_t kMaximumDeliveryDelayMs = 6'000;
 constexpr int64_t kMaximumRecordTimeMs = 20;
 
 }  // namespace
 
 void FakePool::StepDispatcher(Dispatcher* dispatcher) {
-  const int64_t unix_ms =
-      kStartUnixMs +
-      std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
-  for (const WorkerOrder& order : dispatcher->Step(state_, now_, unix_ms)) {
+  for (const WorkerOrder& order : dispatcher->Step(state_, now_, UnixMs())) {
     Send(order);
   }
   const Dispatcher::FinishedRunBatch ends = dispatcher->TakeFinishedRuns();
@@ -45,6 +41,9 @@
 }
 
 void FakePool::RecordDuePlacements() {
+  if (now_ < placements_resume_) {
+    return;
+  }
   for (auto& [time, batch] : std::exchange(unrecorded_placements_, {})) {
     if (now_ < time) {
       unrecorded_placements_.emplace_back(time, std::move(batch));
@@ -75,7 +74,10 @@
     delivery.worker = -1;
   } else if (random_draw < options_.lose_order + options_.delay_order) {
     Delivery delayed = delivery;
-    delayed.time = now_ + Milliseconds(random_() % kMaximumDeliveryDelayMs);
+    delayed.time =
+        now_ +
+        Milliseconds(random_() % static_cast<uint64_t>(
+                                     options_.maximum_delivery_delay.count()));
     delayed.has_response = false;
     deliveries_.push_back(delayed);
     delivery.time = now_ + kResponseTimeout;
@@ -87,6 +89,33 @@
   deliveries_.push_back(std::move(delivery));
 }
 
+bool FakePool::IsOrderLost(const Worker& worker, const WorkerOrder& order) {
+  return worker.cut == Cut::kOrders ||
+         (worker.cut == Cut::kStarts &&
+          std::holds_alternative<StartOrder>(order.body));
+}
+
+bool FakePool::IsResponseLost(const Worker& worker, const WorkerOrder& order) {
+  return worker.cut == Cut::kResponses ||
+         (worker.cut == Cut::kStartResponses &&
+          std::holds_alternative<StartOrder>(order.body));
+}
+
+void FakePool::SendHeartbeats() {
+  if (options_.heartbeat_interval == Milliseconds(0) ||
+      now_ < next_heartbeats_) {
+    return;
+  }
+  next_heartbeats_ = now_ + options_.heartbeat_interval;
+  for (const Worker& worker : workers_) {
+    if (!worker.partitioned && now_ >= worker.down_until) {
+      dispatcher_->ObserveClock(worker.registration.id,
+                                worker.registration.started_unix_ms,
+                                ClockOf(worker), now_);
+    }
+  }
+}
+
 void FakePool::Deliver(const Delivery& delivery) {
   Response response{delivery.order,
                     delivery.fence,
@@ -98,7 +127,7 @@
   timed_out.time = now_ + kResponseTimeout;
   if (delivery.worker >= 0) {
     Worker& worker = workers_[delivery.worker];
-    if (worker.partitioned) {
+    if (worker.partitioned || IsOrderLost(worker, delivery.order)) {
       deliveries_.push_back(timed_out);
       return;
     }
@@ -116,7 +145,8 @@
     }
     std::tie(response.outcome, response.renewal) =
         Execute(&worker, delivery.order, delivery.fence);
-    if (delivery.has_response && delivery.response_lost) {
+    if (delivery.has_response &&
+        (delivery.response_lost || IsResponseLost(worker, delivery.order))) {
       deliveries_.push_back(timed_out);
       return;
     }
