Dispatch: End the liveness scenario at a violation of the pool

After a violation FakePool takes no more steps, so the loop of the scenario never ended and the text of the violation was lost. The loop now ends, and the property reports the violation.

--- a/packages/dispatch/tests/liveness_scenario.h
+++ b/packages/dispatch/tests/liveness_scenario.h
@@ -214,7 +214,8 @@
   // Submits ordinary tasks meanwhile. Returns early when all long-running tasks
   // are at work.
   bool RunUntilAllAreAtWork(Milliseconds limit) {
-    for (const MonotonicTime end = pool_.now() + limit; pool_.now() < end;) {
+    for (const MonotonicTime end = pool_.now() + limit;
+         pool_.now() < end && pool_.violation().empty();) {
       RunFor(kSubmissionInterval);
       if (DescribeStandingTasks().empty()) {
         return true;
