--- a/packages/dispatch/tests/liveness_scenario.h
+++ b/packages/dispatch/tests/liveness_scenario.h
@@ -31,7 +31,7 @@
 inline constexpr int kOrdinaryTasksPerWorker = 4;
 // More than all workers can start at the same time.
 inline constexpr size_t kWaitingOrdinaryTasks =
-    2 * kWorkers * kOrdinaryTasksPerWorker;
+    size_t{2} * kWorkers * kOrdinaryTasksPerWorker;
 // More than a leader tries in one pass.
 inline constexpr size_t kManyWaitingOrdinaryTasks = 450;
 inline constexpr Milliseconds kTaskTime{400};
@@ -323,7 +323,7 @@
         pool_.SetUnreadable(worker, fault == Fault::kUnreadable);
         break;
       case Fault::kCapacity:
-        pool_.SetCapacity(worker, {variant % 8 * 1'000, 64'000, 0});
+        pool_.SetCapacity(worker, {int64_t{variant} % 8 * 1'000, 64'000, 0});
         break;
       case Fault::kFullCapacity:
         pool_.SetCapacity(worker, kCapacity);
