Dispatch: Give up a start by the worker's clock

Cause: a start without an outcome ended by a list that was asked for after a confirmed stop, which takes two exchanges in one contact, or by the end of all leases of a silent worker, which each contact and each repeated start put off by a whole lease. A worker in contact for one response every few seconds held the task for ever.

All start orders of a run now carry the same end of their lease. The worker rejects them after that time, so one complete list with a later clock that lacks the run shows that it has ended or never begins. The leader's clock has to agree.

IntermittentContact.StartWithoutAnOutcomeDoesNotHoldItsTask fails on the code before (for contacts of one response each 300 ms already) and passes. ClockThatJumpsAheadDoesNotGiveUpAStart fails when the leader's clock is not compared.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -354,13 +354,19 @@
                            const RunKey& key,
                            TrackedRun* run,
                            MonotonicTime now) {
-  const auto until_ms = worker->GrantLease(options_.lease, now);
+  // A repeated start does not put off the time from which the worker rejects
+  // all of them.
+  if (!run->start_validity) {
+    run->start_validity = worker->GrantStartLease(options_.lease, now);
+  }
   run->last_order_sent = now;
   run->order_in_flight = true;
   ++run->orders_sent;
-  orders_.push_back({worker->Address(),
-                     StartOrder{key.first, key.second, run->payload,
-                                until_ms.value_or(0), run->checkpoint, ""}});
+  orders_.push_back(
+      {worker->Address(),
+       StartOrder{key.first, key.second, run->payload,
+                  run->start_validity ? run->start_validity->until_ms : 0,
+                  run->checkpoint, ""}});
 }
 
 void Dispatcher::SendStop(TrackedWorker* worker,
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -35,6 +35,15 @@
                   kMaximumFailureBackoff);
 }
 
+// Whether a worker that responded with this clock rejects all start orders of
+// the run. Its clock alone does not show that: it may have jumped ahead.
+bool CanNoLongerBegin(const TrackedRun& run,
+                      int64_t clock_ms,
+                      MonotonicTime now) {
+  return run.start_validity && clock_ms > run.start_validity->until_ms &&
+         now >= run.start_validity->until;
+}
+
 }  // namespace
 
 void Dispatcher::HandleStartResponse(const WorkerAddress& address,
@@ -325,8 +334,9 @@
     // The lease renewal was sent after the worker had confirmed the run or its
     // stop, so the worker would report the run if it were still active. After
     // a renewal of this leader, it rejects the start orders of earlier ones.
-    const bool expected =
-        (run.confirmed && *run.confirmed < sent) || run.from_earlier_leader;
+    const bool expected = (run.confirmed && *run.confirmed < sent) ||
+                          run.from_earlier_leader ||
+                          CanNoLongerBegin(run, response.clock_ms, now);
     if (expected && run.list_number != worker->list_number) {
       missing.push_back(key);
     }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -188,7 +188,9 @@
         now - run.last_order_sent < kOrderRetryInterval) {
       continue;
     }
-    if (run.phase == RunPhase::kStarting &&
+    const bool may_begin =
+        !run.start_validity || now < run.start_validity->until;
+    if (run.phase == RunPhase::kStarting && may_begin &&
         run.orders_sent < kMaximumStartAttempts) {
       SendStart(worker, key, &run, now);
     } else if (run.phase == RunPhase::kStarting) {
@@ -250,6 +252,7 @@
     run.phase = RunPhase::kStarting;
     run.listed = false;
     run.list_number = 0;
+    run.start_validity.reset();
     run.started = now;
     SendStop(later, key, &later->AddRun(key, run),
              "the worker was restarted and may have executed the start", now);
--- /dev/null
+++ b/packages/dispatch/tests/intermittent_contact_test.cc
@@ -0,0 +1,159 @@
+// LOST: a worker that is in contact only now and then, for a few responses at a
+// time. Each test bounds the time for which a long-running task stands still.
+
+#include <vector>
+
+#include "packages/dispatch/tests/order_delivery_fixture.h"
+
+namespace bramleyrail {
+namespace {
+
+// A time in which the worker gets and answers orders, after one in which it
+// does not. It ends with the last of these responses.
+struct Contact {
+  Milliseconds gap{0};
+  int responses = 1;
+};
+
+// The lease of a start order on a clock that is 2% slow.
+constexpr Milliseconds kStartValidity{5'100};
+constexpr Milliseconds kMaximumGap{5'000};
+// The renewal that fails as the contact ends, and the pause before the next.
+constexpr Milliseconds kFailedRenewal{2'000 + 200};
+constexpr Milliseconds kPlacement{200};
+constexpr Milliseconds kBound =
+    kStartValidity + kMaximumGap + kFailedRenewal + kPlacement;
+
+// Capacity of the other worker. A long-running task starts on the worker that
+// it fills the most.
+constexpr int64_t kPreferredMillis = 2'000;
+
+struct IntermittentContactFixture : public OrderDeliveryFixture {
+  // It comes first among workers that suit a task equally.
+  static constexpr const char* kIntermittent = "a";
+
+  std::vector<Contact> contacts_;
+  // The next of these, and what is left of the current one.
+  size_t next_contact_ = 0;
+  MonotonicTime contact_begins_;
+  int responses_left_ = 0;
+  int starts_with_fault_ = 0;
+  Delivery start_delivery_;
+
+  void setup() override {
+    OrderDeliveryFixture::setup();
+    delivery_ = [this](const WorkerOrder& order) { return DeliveryOf(order); };
+    loses_response_ = [this](const WorkerOrder& order) {
+      return order.worker.id == kIntermittent && !TakeResponse();
+    };
+  }
+
+  // Submits the task to the worker, which then is in contact in this way, over
+  // and over. Another worker of this capacity has room.
+  void Run(std::vector<Contact> contacts,
+           int starts,
+           Delivery start_delivery,
+           int64_t steady_millis) {
+    Restart();
+    contacts_.clear();
+    StartWorker(kIntermittent, "10.0.0.1:80");
+    Register(kIntermittent);
+    RunFor(Milliseconds(1'500));
+    starts_with_fault_ = starts;
+    start_delivery_ = start_delivery;
+    SubmitLongRunningTask();
+    RunFor(kPlacement);
+    contacts_ = std::move(contacts);
+    next_contact_ = 0;
+    responses_left_ = 0;
+    contact_begins_ = now_ + contacts_.front().gap;
+    StartWorker("steady", "10.0.0.2:80")
+        .registration.capacity.processor_millis = steady_millis;
+    Register("steady");
+  }
+
+  Milliseconds LongestStandstill(Milliseconds duration) {
+    const MonotonicTime end = now_ + duration;
+    Milliseconds longest(0);
+    Milliseconds current(0);
+    while (now_ < end) {
+      RunFor(kTick);
+      current = IsRunning() ? Milliseconds(0) : current + kTick;
+      longest = std::max(longest, current);
+    }
+    return longest;
+  }
+
+ private:
+  bool IsInContact() {
+    if (contacts_.empty()) {
+      return true;
+    }
+    if (responses_left_ == 0 && now_ >= contact_begins_) {
+      responses_left_ = contacts_[next_contact_].responses;
+      next_contact_ = (next_contact_ + 1) % contacts_.size();
+    }
+    return responses_left_ > 0;
+  }
+
+  // Whether a response gets through.
+  bool TakeResponse() {
+    if (!IsInContact()) {
+      return false;
+    }
+    if (!contacts_.empty() && --responses_left_ == 0) {
+      contact_begins_ = now_ + contacts_[next_contact_].gap;
+    }
+    return true;
+  }
+
+  Delivery DeliveryOf(const WorkerOrder& order) {
+    if (order.worker.id != kIntermittent) {
+      return {};
+    }
+    if (std::holds_alternative<StartOrder>(order.body) &&
+        starts_with_fault_ > 0) {
+      --starts_with_fault_;
+      return start_delivery_;
+    }
+    return IsInContact() ? Delivery() : Lost();
+  }
+};
+
+TEST_GROUP_BASE(IntermittentContact, IntermittentContactFixture){};
+
+// LOST: fails when each contact with the worker, down to a single response,
+// puts off the moment at which a start without an outcome is given up.
+TEST(IntermittentContact, StartWithoutAnOutcomeDoesNotHoldItsTask) {
+  for (const Milliseconds gap :
+       {Milliseconds(300), Milliseconds(1'000), Milliseconds(2'000),
+        Milliseconds(3'000), Milliseconds(4'000), Milliseconds(5'000)}) {
+    for (const int responses : {1, 2, 3, 4, 6}) {
+      for (const int starts : {1, 2, 3, 4}) {
+        Run({{gap, responses}}, starts, Lost(), kPreferredMillis);
+        CHECK(RunsWithin(kBound));
+        CHECK(LongestStandstill(Milliseconds(30'000)) <= kBound);
+      }
+    }
+  }
+}
+
+// TWICE: fails when a clock that was ahead for one response ends the validity
+// of a start that is executed later.
+TEST(IntermittentContact, ClockThatJumpsAheadDoesNotGiveUpAStart) {
+  Run({{Milliseconds(500), 1}}, 1, Late(Milliseconds(4'000)), kPreferredMillis);
+  constexpr Milliseconds kJump{10'000};
+  workers_[kIntermittent].clock_start -= kJump;
+  RunFor(Milliseconds(1'700));
+  workers_[kIntermittent].clock_start += kJump;
+  contacts_.clear();
+  for (int tick = 0; tick < 1'000; ++tick) {
+    RunFor(kTick);
+    CHECK(workers_[kIntermittent].runs.size() +
+              workers_["steady"].runs.size() <=
+          1);
+  }
+}
+
+}  // namespace
+}  // namespace bramleyrail
--- a/packages/dispatch/tests/order_delivery_fixture.h
+++ b/packages/dispatch/tests/order_delivery_fixture.h
@@ -81,6 +81,9 @@
   std::set<std::string> unreachable_;
   std::function<Delivery(const WorkerOrder&)> delivery_ =
       [](const WorkerOrder&) { return Delivery(); };
+  // Whether the response to an order that was executed in time gets lost.
+  std::function<bool(const WorkerOrder&)> loses_response_ =
+      [](const WorkerOrder&) { return false; };
 
   void setup() override {
     QueueConfiguration configuration;
@@ -259,13 +262,7 @@
       });
       return;
     }
-    Milliseconds timeout = kCallTimeout;
-    if (const auto* renewal = std::get_if<LeaseRenewalOrder>(&order.body)) {
-      timeout += renewal->wait;
-    }
-    events_.emplace(now_ + timeout, [this, order, fence, sent] {
-      Respond(order, fence, sent, OrderOutcome::kUnknown, {});
-    });
+    TimeOut(order, fence, sent);
     if (delivery.kind == Delivery::Kind::kLate) {
       events_.emplace(now_ + delivery.delay, [this, order, fence, sent] {
         Execute(order, fence, sent, false);
@@ -273,6 +270,18 @@
     }
   }
 
+  // The leader's call ends without a response.
+  void TimeOut(const WorkerOrder& order, int64_t fence, MonotonicTime sent) {
+    Milliseconds timeout = kCallTimeout;
+    if (const auto* renewal = std::get_if<LeaseRenewalOrder>(&order.body)) {
+      timeout += renewal->wait;
+    }
+    events_.emplace(std::max(sent + timeout, now_ + kTick),
+                    [this, order, fence, sent] {
+                      Respond(order, fence, sent, OrderOutcome::kUnknown, {});
+                    });
+  }
+
   void Execute(const WorkerOrder& order,
                int64_t fence,
                MonotonicTime sent,
@@ -309,7 +318,9 @@
         }
       }
     }
-    if (respond) {
+    if (respond && loses_response_(order)) {
+      TimeOut(order, fence, sent);
+    } else if (respond) {
       Respond(order, fence, sent,
               restarted ? OrderOutcome::kRestarted : outcome, {});
     }
@@ -369,6 +380,10 @@
       const bool same = worker != workers_.end() &&
                         worker->second.registration.started_unix_ms ==
                             renewal.order.worker.started_unix_ms;
+      if (loses_response_(renewal.order)) {
+        TimeOut(renewal.order, renewal.fence, renewal.sent);
+        continue;
+      }
       Respond(renewal.order, renewal.fence, renewal.sent,
               same ? OrderOutcome::kAccepted : OrderOutcome::kUnknown,
               same ? ListsOf(worker->second) : LeaseRenewalResponse());
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -64,6 +64,17 @@
   return until_ms;
 }
 
+std::optional<StartValidity> TrackedWorker::GrantStartLease(Milliseconds lease,
+                                                            MonotonicTime now) {
+  const auto until_ms = GrantLease(lease, now);
+  if (!until_ms) {
+    return std::nullopt;
+  }
+  // The last known clock is behind by the delay of the message that told it.
+  return StartValidity{*until_ms,
+                       now + lease - Milliseconds(kMaximumExtraDelayMs)};
+}
+
 std::optional<MonotonicTime> TrackedWorker::LeaseDeadline() const {
   if (!granted_until_ms_ || !clock_) {
     return assumed_until_;
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -27,6 +27,12 @@
 // caused the crash.
 inline constexpr Milliseconds kCrashAttributionTime{3'000};
 
+// Until when a worker may execute the start orders of a run.
+struct StartValidity {
+  int64_t until_ms = 0;  // On the worker's clock.
+  MonotonicTime until;   // On the leader's clock, at the earliest.
+};
+
 // A run that is, or may be, active on a worker.
 struct TrackedRun {
   RunPhase phase = RunPhase::kStarting;
@@ -42,6 +48,9 @@
   MonotonicTime last_order_sent;  // The last start or stop order.
   int orders_sent = 0;
   bool order_in_flight = false;
+  // The same for all start orders of the run. nullopt: none was sent, or not to
+  // this incarnation of the worker.
+  std::optional<StartValidity> start_validity;
   // When the worker confirmed the last start or stop order, or first reported
   // the run as running.
   std::optional<MonotonicTime> confirmed;
@@ -105,6 +114,9 @@
   // while the clock is not known. The worker is assumed to hold the lease from
   // now on.
   std::optional<int64_t> GrantLease(Milliseconds lease, MonotonicTime now);
+  // Grants a lease by the start orders of a run. nullopt as above.
+  std::optional<StartValidity> GrantStartLease(Milliseconds lease,
+                                               MonotonicTime now);
   // Assumes that the worker may hold a lease until this time that an earlier
   // leader granted, or that was meant for an earlier incarnation.
   void AssumeLease(MonotonicTime until) { assumed_until_ = until; }
