Dispatch: Prefer workers with steady contact

A long-running task went back to the same worker after each lapse, and stood still for another lease each time, while another worker had room and steady contact: 40 s of 45 s in the property below with one response each 5 s.

Cause: a worker that has just returned is as good as any other, and it is mostly empty, so that it gets work at the very moment of a contact that may be over before the start arrives.

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -443,6 +443,7 @@
                                                   now - worker->last_response)
                                                   .count()}});
     worker->failed_renewals = 0;
+    worker->returned = now;
   }
   worker->last_response = now;
   worker->next_renewal = now;
--- a/packages/dispatch/tests/intermittent_contact_test.cc
+++ b/packages/dispatch/tests/intermittent_contact_test.cc
@@ -1,6 +1,8 @@
 // LOST: a worker that is in contact only now and then, for a few responses at a
 // time. Each test bounds the time for which a long-running task stands still.
 
+#include <rapidcheck.h>
+
 #include <vector>
 
 #include "packages/dispatch/tests/order_delivery_fixture.h"
@@ -24,9 +26,10 @@
 constexpr Milliseconds kBound =
     kStartValidity + kMaximumGap + kFailedRenewal + kPlacement;
 
-// Capacity of the other worker. A long-running task starts on the worker that
+// Capacities of the other worker. A long-running task starts on the worker that
 // it fills the most.
 constexpr int64_t kPreferredMillis = 2'000;
+constexpr int64_t kEqualMillis = 8'000;
 
 struct IntermittentContactFixture : public OrderDeliveryFixture {
   // It comes first among workers that suit a task equally.
@@ -49,7 +52,7 @@
   }
 
   // Submits the task to the worker, which then is in contact in this way, over
-  // and over. Another worker of this capacity has room.
+  // and over, or all the time. Another worker of this capacity has room.
   void Run(std::vector<Contact> contacts,
            int starts,
            Delivery start_delivery,
@@ -66,7 +69,8 @@
     contacts_ = std::move(contacts);
     next_contact_ = 0;
     responses_left_ = 0;
-    contact_begins_ = now_ + contacts_.front().gap;
+    contact_begins_ =
+        now_ + (contacts_.empty() ? Milliseconds(0) : contacts_.front().gap);
     StartWorker("steady", "10.0.0.2:80")
         .registration.capacity.processor_millis = steady_millis;
     Register("steady");
@@ -155,5 +159,24 @@
   }
 }
 
+// LOST: fails when the task goes back to that worker each time, although the
+// other one has steady contact. Some starts are executed late.
+TEST(IntermittentContact, AnySequenceOfContactsBoundsTheStandstill) {
+  CHECK(rc::check("contacts", [this] {
+    const auto contacts =
+        *rc::gen::container<std::vector<Contact>>(rc::gen::apply(
+            [](int gap_ms, int responses) {
+              return Contact{Milliseconds(gap_ms), responses};
+            },
+            rc::gen::inRange(50, static_cast<int>(kMaximumGap.count())),
+            rc::gen::inRange(1, 9)));
+    const int starts = *rc::gen::inRange(0, 6);
+    const Milliseconds delay(*rc::gen::inRange(0, 12'000));
+    Run(contacts.empty() ? std::vector<Contact>{{kMaximumGap, 1}} : contacts,
+        starts, delay < Milliseconds(600) ? Lost() : Late(delay), kEqualMillis);
+    RC_ASSERT(LongestStandstill(Milliseconds(45'000)) <= kBound);
+  }));
+}
+
 }  // namespace
 }  // namespace bramleyrail
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -172,6 +172,8 @@
     return contacted || (expiry_check && expiry_check->unanswered);
   }
   int failed_renewals = 0;
+  // When the worker last responded after a failed renewal.
+  std::optional<MonotonicTime> returned;
   uint64_t list_number = 0;  // Counts the lists of running runs.
   // The registration was withdrawn, but runs may still be active.
   bool deregistered = false;
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -18,6 +18,11 @@
 constexpr double kOtherRackWeight = 4.0;
 constexpr double kOtherRegionWeight = 0.1;
 constexpr double kAvoidedWorkerWeight = 8.0;
+// A worker that was silent may soon be so again, and a start that it does not
+// answer holds its task for a lease. This long after its return, one with
+// steady contact is preferred.
+constexpr Milliseconds kReturnTime{5'000};
+constexpr double kReturnedWorkerWeight = 2.0;
 // Applies to each consecutive failure on the worker.
 constexpr double kConsecutiveFailureWeight = 1.0;
 // Applies to the difference between the desired headroom and a lower expected
@@ -204,6 +209,9 @@
       request.avoid_worker == registration.id) {
     score += kAvoidedWorkerWeight;
   }
+  if (worker.returned && request.now - *worker.returned < kReturnTime) {
+    score += kReturnedWorkerWeight;
+  }
   return score;
 }
 
