Dispatch: Start a task elsewhere after a start that never began

A worker that renews its lease but never receives a start got the same long-running task again after each attempt, while another worker had room.

Cause: only a rejected or a failed run marked its worker for its task. A start that ended as not listed did not.

Such a run marks its worker now, as the others do: the next run goes there only when no other worker has room. Runs that are lost with a silent worker leave no mark. Each marked task rates all workers by itself, and such runs are many when a failure domain is lost.

IntermittentContact.LostStartsDoNotLeadBackToTheirWorker fails without the mark, and passes with it.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -362,6 +362,8 @@
   void AdoptRun(TrackedWorker* worker,
                 const ReportedRun& reported,
                 MonotonicTime now);
+  // The task starts on another worker next time, if one has room.
+  void AvoidWorker(const TaskName& task, const TrackedWorker& worker);
   // Makes the task ready again after its run has ended without a result.
   void Requeue(const TaskName& task, uint64_t run, MonotonicTime not_before);
   // Changes CPU limits of best-effort runs, or moves them away, as the target
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -347,6 +347,7 @@
                          {"run", key.second},
                          {"worker", worker->registration().id},
                          {"end", std::string_view("not_listed")}});
+    AvoidWorker(key.first, *worker);
     RecordEnd(key);
     Requeue(key.first, key.second, now);
   }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -280,6 +280,14 @@
   }
 }
 
+void Dispatcher::AvoidWorker(const TaskName& task,
+                             const TrackedWorker& worker) {
+  TrackedJob* job = FindJob(task.job);
+  if (job != nullptr && job->HasTask(task)) {
+    job->task(task).avoid_worker = worker.registration().id;
+  }
+}
+
 void Dispatcher::Requeue(const TaskName& task,
                          uint64_t run,
                          MonotonicTime not_before) {
--- a/packages/dispatch/tests/intermittent_contact_test.cc
+++ b/packages/dispatch/tests/intermittent_contact_test.cc
@@ -142,6 +142,14 @@
   }
 }
 
+// LOST: fails when a task is started again and again on a worker that renews
+// its lease but never receives a start, although another one has room.
+TEST(IntermittentContact, LostStartsDoNotLeadBackToTheirWorker) {
+  constexpr int kAllStarts = 1'000;
+  Run({}, kAllStarts, Lost(), kEqualMillis);
+  CHECK(RunsWithin(kBound));
+}
+
 // TWICE: fails when a clock that was ahead for one response ends the validity
 // of a start that is executed later.
 TEST(IntermittentContact, ClockThatJumpsAheadDoesNotGiveUpAStart) {
