--- a/packages/dispatch/tests/room_reservation_test.cc
+++ b/packages/dispatch/tests/room_reservation_test.cc
@@ -1,10 +1,6 @@
 // Long-running tasks that wait for room on workers that are full.
 
-#include <functional>
-#include <string>
-
-#include "absl/strings/str_cat.h"
-#include "packages/dispatch/fakes/fake_pool.h"
+#include "packages/dispatch/tests/busy_pool.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
@@ -12,70 +8,11 @@
 namespace bramleyrail {
 namespace {
 
-constexpr int64_t kWorkerMillis = 8'000;
-constexpr int kSmallTasksPerWorker = 4;
-constexpr Milliseconds kTaskTime{400};
 // A long-running task counts as lost when it has not run for 3 s, from 6 s
 // after its last run on.
 constexpr Milliseconds kMaximumWait{3'000};
 constexpr Milliseconds kLongEnough{30'000};
 
-JobSpecification LongRunningJob(int64_t processor_millis) {
-  JobSpecification job = FakePool::Job(1, 1);
-  job.steps[0].long_running = true;
-  job.steps[0].size.processor_millis = processor_millis;
-  return job;
-}
-
-// A pool to which more small tasks come than fit, one after the other, so that
-// they end one after the other, too.
-class BusyPool {
- public:
-  explicit BusyPool(int workers)
-      : pool_({.workers = workers, .task_time = kTaskTime}),
-        interval_(kTaskTime / (workers * kSmallTasksPerWorker)) {
-    RunFor(2 * kTaskTime);
-  }
-
-  void RunFor(Milliseconds duration) {
-    for (const MonotonicTime end = pool_.now() + duration; pool_.now() < end;) {
-      JobSpecification job = FakePool::Job(1, 1);
-      job.steps[0].size.processor_millis = kWorkerMillis / kSmallTasksPerWorker;
-      pool_.Submit(absl::StrCat("small", jobs_++), job);
-      pool_.RunFor(interval_);
-    }
-  }
-
-  // Returns false when the condition doesn't hold within the time.
-  bool RunUntil(const std::function<bool()>& condition, Milliseconds limit) {
-    for (const MonotonicTime end = pool_.now() + limit; pool_.now() < end;) {
-      RunFor(interval_);
-      if (condition()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  double MeanOfRunningTasks(Milliseconds duration) {
-    int samples = 0;
-    int running = 0;
-    for (const MonotonicTime end = pool_.now() + duration; pool_.now() < end;
-         ++samples) {
-      RunFor(interval_);
-      running += pool_.RunningTasks();
-    }
-    return static_cast<double>(running) / samples;
-  }
-
-  FakePool& pool() { return pool_; }
-
- private:
-  FakePool pool_;
-  const Milliseconds interval_;
-  int jobs_ = 0;
-};
-
 TEST_GROUP(RoomReservation) {
   BusyPool busy_{2};
   FakePool& pool_ = busy_.pool();
@@ -88,21 +25,23 @@
   // Whether small tasks fill the worker at some time.
   bool IsFilled(int worker) {
     return busy_.RunUntil(
-        [&] { return pool_.RunsOn(worker) == kSmallTasksPerWorker; },
-        4 * kTaskTime);
+        [&] { return pool_.RunsOn(worker) == BusyPool::kSmallTasksPerWorker; },
+        4 * BusyPool::kTaskTime);
   }
 };
 
 // LOST: fails when small tasks take each part of the room that a large
 // long-running task needs as soon as it is free.
 TEST(RoomReservation, LargeTaskIsNotOvertakenBySmallOnesWithoutABound) {
-  pool_.Submit("large", LongRunningJob(kWorkerMillis * 7 / 8));
+  pool_.Submit("large",
+               BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 7 / 8));
   CHECK(LargeTaskRunsInTime());
 }
 
 // LOST: the same when the worker of the task has gone.
 TEST(RoomReservation, LargeTaskOfALostWorkerIsNotOvertaken) {
-  pool_.Submit("large", LongRunningJob(kWorkerMillis * 7 / 8));
+  pool_.Submit("large",
+               BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 7 / 8));
   CHECK(LargeTaskRunsInTime());
   pool_.SetPartitioned(pool_.RunsOn(0) < pool_.RunsOn(1) ? 0 : 1, true);
   CHECK(busy_.RunUntil([this] { return !pool_.IsRunning(large_); },
@@ -115,7 +54,8 @@
 
 // Fails when a reservation outlives the task that needs it.
 TEST(RoomReservation, EndsWithTheJobOfTheTask) {
-  pool_.Submit("large", LongRunningJob(kWorkerMillis * 7 / 8));
+  pool_.Submit("large",
+               BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 7 / 8));
   busy_.RunFor(Milliseconds(700));
   pool_.Apply(CancelQueuedJob{"large"});
   CHECK(IsFilled(0));
@@ -124,7 +64,7 @@
 
 // Fails when a worker is reserved on which the task will never have room.
 TEST(RoomReservation, NeedsAWorkerThatWillHaveRoom) {
-  pool_.Submit("large", LongRunningJob(kWorkerMillis * 2));
+  pool_.Submit("large", BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 2));
   busy_.RunFor(Milliseconds(2'000));
   CHECK(IsFilled(0));
   CHECK(IsFilled(1));
@@ -133,7 +73,8 @@
 // Fails when a worker stays reserved although the tasks that have started there
 // leave no room for another one of the step.
 TEST(RoomReservation, EndsWhenTheNextTaskWillNotFit) {
-  JobSpecification job = LongRunningJob(kWorkerMillis * 5 / 8);
+  JobSpecification job =
+      BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 5 / 8);
   job.steps[0].tasks = 3;
   pool_.Submit("large", job);
   CHECK(busy_.RunUntil(
@@ -145,7 +86,7 @@
   // A small task beside the large one on each worker.
   CHECK(busy_.RunUntil(
       [this] { return pool_.RunsOn(0) == 2 && pool_.RunsOn(1) == 2; },
-      4 * kTaskTime));
+      4 * BusyPool::kTaskTime));
 }
 
 // LOST: fails when a long-running task that fits is held off a worker that is
@@ -153,16 +94,17 @@
 TEST(RoomReservation, DoesNotHoldALongRunningTaskThatFits) {
   FakePool pool({.workers = 10, .task_time = Milliseconds(20'000)});
   pool.Submit("full", [] {
-    JobSpecification job = LongRunningJob(kWorkerMillis);
+    JobSpecification job = BusyPool::LongRunningJob(BusyPool::kWorkerMillis);
     job.steps[0].tasks = 9;
     return job;
   }());
   CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 9; }, kLongEnough));
   pool.Submit("ordinary", FakePool::Job(2, 1));
   CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 11; }, kLongEnough));
-  pool.Submit("large", LongRunningJob(kWorkerMillis * 7 / 8));
+  pool.Submit("large",
+              BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 7 / 8));
   pool.RunFor(Milliseconds(1'500));
-  pool.Submit("small", LongRunningJob(kWorkerMillis / 8));
+  pool.Submit("small", BusyPool::LongRunningJob(BusyPool::kWorkerMillis / 8));
   CHECK(pool.RunUntil(
       [&] {
         return pool.IsRunning({"small", 0, 0, 0});
@@ -174,12 +116,13 @@
 // workers.
 TEST(RoomReservation, LeavesMostWorkersToOtherTasks) {
   BusyPool busy(10);
-  JobSpecification large = LongRunningJob(kWorkerMillis * 7 / 8);
+  JobSpecification large =
+      BusyPool::LongRunningJob(BusyPool::kWorkerMillis * 7 / 8);
   large.steps[0].tasks = 5;
   busy.pool().Submit("large", large);
   busy.RunFor(Milliseconds(700));
   // Of 36 on nine workers; the others are on their way.
-  CHECK(busy.MeanOfRunningTasks(kTaskTime) > 28);
+  CHECK(busy.MeanOfRunningTasks(BusyPool::kTaskTime) > 28);
 }
 
 }  // namespace
