Dispatch: Test a stop that is never confirmed

The evidence by the worker's clock ends that wait, too.

IntermittentContact.StopThatIsNeverConfirmedDoesNotHoldItsTask fails with that evidence taken out, and passes with it.

--- a/packages/dispatch/tests/intermittent_contact_test.cc
+++ b/packages/dispatch/tests/intermittent_contact_test.cc
@@ -42,6 +42,7 @@
   int responses_left_ = 0;
   int starts_with_fault_ = 0;
   Delivery start_delivery_;
+  bool loses_stops_ = false;
 
   void setup() override {
     OrderDeliveryFixture::setup();
@@ -120,6 +121,9 @@
       --starts_with_fault_;
       return start_delivery_;
     }
+    if (std::holds_alternative<StopOrder>(order.body) && loses_stops_) {
+      return Lost();
+    }
     return IsInContact() ? Delivery() : Lost();
   }
 };
@@ -150,6 +154,15 @@
   CHECK(RunsWithin(kBound));
 }
 
+// LOST: fails when a task waits for the confirmation of a stop that never
+// arrives, while the worker renews its lease.
+TEST(IntermittentContact, StopThatIsNeverConfirmedDoesNotHoldItsTask) {
+  constexpr int kStartAttempts = 3;
+  loses_stops_ = true;
+  Run({}, kStartAttempts, Lost(), kPreferredMillis);
+  CHECK(RunsWithin(kBound));
+}
+
 // TWICE: fails when a clock that was ahead for one response ends the validity
 // of a start that is executed later.
 TEST(IntermittentContact, ClockThatJumpsAheadDoesNotGiveUpAStart) {
