--- a/packages/dispatch/tests/order_delivery_fixture.h
+++ b/packages/dispatch/tests/order_delivery_fixture.h
@@ -51,6 +51,8 @@
   struct Worker {
     WorkerRegistration registration;
     MonotonicTime clock_start;
+    // The speed of its clock.
+    int64_t clock_permille = 1'000;
     int64_t fence = 0;
     int64_t lease_until_ms = 0;
     std::vector<RunKey> runs;
@@ -84,6 +86,8 @@
   // Whether the response to an order that was executed in time gets lost.
   std::function<bool(const WorkerOrder&)> loses_response_ =
       [](const WorkerOrder&) { return false; };
+  // The leader reads the lists of workers this long after they were sent.
+  Milliseconds reading_delay_{0};
 
   void setup() override {
     QueueConfiguration configuration;
@@ -101,6 +105,7 @@
     events_.clear();
     open_renewals_.clear();
     unreachable_.clear();
+    reading_delay_ = Milliseconds(0);
     setup();
   }
 
@@ -217,8 +222,9 @@
 
  private:
   int64_t ClockOf(const Worker& worker) const {
-    return std::chrono::floor<Milliseconds>(now_ - worker.clock_start).count() +
-           1;
+    const auto elapsed =
+        std::chrono::floor<Milliseconds>(now_ - worker.clock_start);
+    return elapsed.count() * worker.clock_permille / 1'000 + 1;
   }
 
   bool HasProcessAt(const std::string& address) const {
@@ -384,9 +390,17 @@
         TimeOut(renewal.order, renewal.fence, renewal.sent);
         continue;
       }
-      Respond(renewal.order, renewal.fence, renewal.sent,
-              same ? OrderOutcome::kAccepted : OrderOutcome::kUnknown,
-              same ? ListsOf(worker->second) : LeaseRenewalResponse());
+      const auto respond =
+          [this, renewal,
+           outcome = same ? OrderOutcome::kAccepted : OrderOutcome::kUnknown,
+           lists = same ? ListsOf(worker->second) : LeaseRenewalResponse()] {
+            Respond(renewal.order, renewal.fence, renewal.sent, outcome, lists);
+          };
+      if (reading_delay_ > Milliseconds(0)) {
+        events_.emplace(now_ + reading_delay_, respond);
+      } else {
+        respond();
+      }
     }
   }
 
