Peer: Let a peer be removed

A peer network only ever added peers. An instance that follows a membership that changes would dial each machine that has left every 2 s, for ever.

RemovePeer() closes the connections of a peer in both directions, fails its open calls and forgets it. Links and records are shared now, since another thread may hold a link that it has just looked up; such a link is closed and refuses calls. The reason of a shutdown is passed in, so that the log tells a removed peer from an instance that stops.

PeerNetwork.RemovedPeerIsForgottenInBothDirections and PeerNetwork.PeerMayBeRemovedWhileAnotherThreadCallsIt are new; the function did not exist before. All tests of the package pass.

--- a/packages/peer/incoming_link.cc
+++ b/packages/peer/incoming_link.cc
@@ -51,10 +51,10 @@
                           : deadline;
 }
 
-void IncomingLink::Shutdown() {
+void IncomingLink::Shutdown(const Error& reason) {
   // Best effort: the connection is closed in any case.
   (void)connection_->Flush();
-  Close(MakeError(ErrorKind::kUnavailable, "the instance is stopping", ""));
+  Close(reason);
 }
 
 void IncomingLink::Replace() {
--- a/packages/peer/incoming_link.h
+++ b/packages/peer/incoming_link.h
@@ -34,7 +34,7 @@
   void Advance(MonotonicTime now);
   MonotonicTime NextDeadline() const;
   // Writes what the socket takes at once and closes.
-  void Shutdown();
+  void Shutdown(const Error& reason);
   // Closes because the peer has dialled a newer connection.
   void Replace();
 
--- a/packages/peer/outgoing_link.cc
+++ b/packages/peer/outgoing_link.cc
@@ -43,11 +43,11 @@
 OutgoingLink::OutgoingLink(EventLoop* event_loop,
                            const PeerNetwork::Options* options,
                            const PeerHandlers* handlers,
-                           PeerRecord* peer)
+                           std::shared_ptr<PeerRecord> peer)
     : event_loop_(event_loop),
       options_(options),
       handlers_(handlers),
-      peer_(peer),
+      peer_(std::move(peer)),
       outbox_(std::make_shared<Outbox>([event_loop] { event_loop->Wake(); })) {}
 
 bool OutgoingLink::Send(PeerChannel channel,
@@ -118,13 +118,12 @@
                   outbox_->NextDeadline().value_or(connection_deadline));
 }
 
-void OutgoingLink::Shutdown(MonotonicTime now) {
+void OutgoingLink::Shutdown(const Error& reason, MonotonicTime now) {
   if (state_ == State::kReady) {
     // Best effort: the connection is closed in any case.
     (void)connection_->Flush();
   }
-  Close(MakeError(ErrorKind::kUnavailable, "the instance is stopping", ""),
-        now);
+  Close(reason, now);
 }
 
 void OutgoingLink::Dial(MonotonicTime now) {
@@ -192,8 +191,8 @@
                      "' calls itself '", hello.instance()->str(), "'"),
         "correct the addresses of the peers in the settings");
   }
-  RecordHello(hello, peer_);
-  connection_->AcceptHello(peer_, now);
+  RecordHello(hello, peer_.get());
+  connection_->AcceptHello(peer_.get(), now);
   state_ = State::kReady;
   phase_started_ = now;
   reported_full_ = false;
--- a/packages/peer/outgoing_link.h
+++ b/packages/peer/outgoing_link.h
@@ -26,7 +26,7 @@
   OutgoingLink(EventLoop* event_loop,
                const PeerNetwork::Options* options,
                const PeerHandlers* handlers,
-               PeerRecord* peer);
+               std::shared_ptr<PeerRecord> peer);
 
   bool Send(PeerChannel channel, std::span<const std::byte> payload);
   // Takes the callback only when the call is queued.
@@ -39,7 +39,7 @@
   void Advance(MonotonicTime now);
   MonotonicTime NextDeadline() const;
   // Writes what the socket takes at once, closes, and fails the calls.
-  void Shutdown(MonotonicTime now);
+  void Shutdown(const Error& reason, MonotonicTime now);
 
   const PeerRecord& peer() const { return *peer_; }
 
@@ -61,7 +61,7 @@
   EventLoop* const event_loop_;
   const PeerNetwork::Options* const options_;
   const PeerHandlers* const handlers_;
-  PeerRecord* const peer_;
+  const std::shared_ptr<PeerRecord> peer_;
   const std::shared_ptr<Outbox> outbox_;
   std::atomic<uint64_t> last_call_number_ = 0;
   std::atomic<bool> reported_full_ = false;
--- a/packages/peer/peer_loop.cc
+++ b/packages/peer/peer_loop.cc
@@ -74,7 +74,7 @@
 bool PeerLoop::Send(std::string_view peer,
                     PeerChannel channel,
                     std::span<const std::byte> payload) {
-  OutgoingLink* const link = FindLink(peer);
+  const std::shared_ptr<OutgoingLink> link = FindLink(peer);
   return link != nullptr && payload.size() <= kMaximumPayloadBytes &&
          link->Send(channel, payload);
 }
@@ -85,7 +85,7 @@
                     Milliseconds timeout,
                     PeerCallCallback callback) {
   std::string reason;
-  OutgoingLink* const link = FindLink(peer);
+  const std::shared_ptr<OutgoingLink> link = FindLink(peer);
   if (link == nullptr) {
     reason = "is not known";
   } else if (payload.size() > kMaximumPayloadBytes) {
@@ -203,12 +203,14 @@
 }
 
 void PeerLoop::Shutdown() {
+  const Error reason =
+      MakeError(ErrorKind::kUnavailable, "the instance is stopping", "");
   for (const auto& link : incoming_) {
-    link->Shutdown();
+    link->Shutdown(reason);
   }
   incoming_.clear();
   for (auto& [name, link] : outgoing_) {
-    link->Shutdown(std::chrono::steady_clock::now());
+    link->Shutdown(reason, std::chrono::steady_clock::now());
   }
 }
 
@@ -229,13 +231,13 @@
 }
 
 PeerRecord* PeerLoop::InsertPeer(PeerAddress address) {
-  auto record = std::make_unique<PeerRecord>(address);
+  auto record = std::make_shared<PeerRecord>(address);
   PeerRecord* const peer = record.get();
   absl::MutexLock lock(&peers_mutex_);
   if (address.address.port != 0) {
     outgoing_.emplace(address.name,
-                      std::make_unique<OutgoingLink>(
-                          event_loop_.get(), &options_, &handlers_, peer));
+                      std::make_shared<OutgoingLink>(
+                          event_loop_.get(), &options_, &handlers_, record));
   }
   peers_.push_back(std::move(record));
   return peer;
@@ -249,10 +251,43 @@
   });
 }
 
-OutgoingLink* PeerLoop::FindLink(std::string_view peer) const {
+void PeerLoop::RemovePeer(std::string_view name) {
+  Post([this, name = std::string(name)] { ErasePeer(name); });
+}
+
+void PeerLoop::ErasePeer(std::string_view name) {
+  const PeerRecord* const peer = FindPeer(name);
+  if (peer == nullptr) {
+    return;
+  }
+  const Error reason = MakeError(
+      ErrorKind::kUnavailable, "the peer was removed from the known ones", "");
+  for (const auto& link : incoming_) {
+    if (link->peer() == peer && !link->is_closed()) {
+      link->Shutdown(reason);
+    }
+  }
+  // The incoming links refer to the record, which is released below.
+  RemoveClosedIncoming();
+  std::shared_ptr<OutgoingLink> outgoing;
+  {
+    absl::MutexLock lock(&peers_mutex_);
+    if (const auto found = outgoing_.find(name); found != outgoing_.end()) {
+      outgoing = std::move(found->second);
+      outgoing_.erase(found);
+    }
+    std::erase_if(peers_, [peer](const auto& p) { return p.get() == peer; });
+  }
+  // Without the lock, since the callbacks of failed calls may call this class.
+  if (outgoing != nullptr) {
+    outgoing->Shutdown(reason, std::chrono::steady_clock::now());
+  }
+}
+
+std::shared_ptr<OutgoingLink> PeerLoop::FindLink(std::string_view peer) const {
   absl::ReaderMutexLock lock(&peers_mutex_);
   const auto link = outgoing_.find(peer);
-  return link == outgoing_.end() ? nullptr : link->second.get();
+  return link == outgoing_.end() ? nullptr : link->second;
 }
 
 void PeerLoop::Post(std::function<void()> function) {
--- a/packages/peer/peer_loop.h
+++ b/packages/peer/peer_loop.h
@@ -48,6 +48,7 @@
             Milliseconds timeout,
             PeerCallCallback callback);
   void AddPeer(PeerAddress peer);
+  void RemovePeer(std::string_view name);
   std::vector<PeerStatus> Statuses() const;
   uint16_t listen_port() const { return listen_port_; }
   bool is_started() const { return thread_.joinable(); }
@@ -68,7 +69,8 @@
   // The known peer, or one that the options admit, or nullptr.
   PeerRecord* AdmitPeer(std::string_view name);
   PeerRecord* InsertPeer(PeerAddress address);
-  OutgoingLink* FindLink(std::string_view peer) const;
+  void ErasePeer(std::string_view name);
+  std::shared_ptr<OutgoingLink> FindLink(std::string_view peer) const;
   // Runs the function on the epoll thread, or at once when it has ended.
   void Post(std::function<void()> function);
   void RunPosted();
@@ -81,11 +83,12 @@
   uint32_t listener_events_ = 0;
   // Set while accepting is suspended.
   std::optional<MonotonicTime> accept_again_;
-  // Peers are only added, and only on the epoll thread or before it starts,
-  // which may therefore read without the lock.
+  // Peers are added and removed only on the epoll thread, before it starts or
+  // after it has ended; that thread may therefore read without the lock. Other
+  // threads may hold a link that was removed meanwhile; it is closed.
   mutable absl::Mutex peers_mutex_;
-  std::vector<std::unique_ptr<PeerRecord>> peers_;
-  std::map<std::string, std::unique_ptr<OutgoingLink>, std::less<>> outgoing_;
+  std::vector<std::shared_ptr<PeerRecord>> peers_;
+  std::map<std::string, std::shared_ptr<OutgoingLink>, std::less<>> outgoing_;
   std::vector<std::unique_ptr<IncomingLink>> incoming_;
   std::atomic<bool> stopping_ = false;
   std::thread thread_;
--- a/packages/peer/peer_network.cc
+++ b/packages/peer/peer_network.cc
@@ -111,6 +111,10 @@
   loop_->AddPeer(std::move(peer));
 }
 
+void PeerNetwork::RemovePeer(std::string_view name) {
+  loop_->RemovePeer(name);
+}
+
 std::vector<PeerStatus> PeerNetwork::Statuses() const {
   return loop_->Statuses();
 }
--- a/packages/peer/peer_network.h
+++ b/packages/peer/peer_network.h
@@ -77,6 +77,9 @@
 
   // Dials an instance that is not among the peers yet.
   void AddPeer(PeerAddress peer);
+  // Forgets a peer: closes its connections, fails its calls and dials it no
+  // more. An instance of that name is treated as unknown afterwards.
+  void RemovePeer(std::string_view name);
 
   std::vector<PeerStatus> Statuses() const;
   uint16_t ListenPort() const;
--- a/packages/peer/tests/peer_network_test.cc
+++ b/packages/peer/tests/peer_network_test.cc
@@ -1,6 +1,8 @@
 #include "packages/peer/peer_network.h"
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
@@ -171,6 +173,59 @@
   STRCMP_EQUAL("outcome_unknown", log.WaitFor("in progress").c_str());
 }
 
+// Guards against peers that are dialled for ever, calls to them that never end,
+// and links that are used after they were freed.
+TEST(PeerNetwork, RemovedPeerIsForgottenInBothDirections) {
+  PeerPair pair;
+  HeldAnswers held;
+  CallLog log;
+  pair.beta().SetCallHandler(kChannel, held.Handler());
+  CHECK(pair.StartAndConnect());
+  CallBeta(pair, "in progress", kLongTimeout, log);
+  CHECK(WaitUntil([&] { return held.size() == 1; }));
+  pair.alpha().RemovePeer("beta");
+  pair.alpha().RemovePeer("never known");
+  STRCMP_EQUAL("outcome_unknown", log.WaitFor("in progress").c_str());
+  CHECK(pair.alpha().Statuses().empty());
+  CallBeta(pair, "removed", kLongTimeout, log);
+  STRCMP_EQUAL("unavailable", log.WaitFor("removed").c_str());
+  CHECK(!pair.alpha().Send("beta", kChannel, AsBytes("x")));
+  // Alpha refuses the hello of an instance that it does not know any more.
+  CHECK(WaitUntil([&] { return !StatusOf(pair.beta()).connected; }));
+  pair.alpha().AddPeer({"beta", {"127.0.0.1", pair.alpha_relay().port()}});
+  CHECK(WaitUntil([&] {
+    return pair.alpha().Statuses().size() == 1 &&
+           StatusOf(pair.alpha()).connected && StatusOf(pair.beta()).connected;
+  }));
+}
+
+// Guards against a race between a thread that sends and one that removes.
+TEST(PeerNetwork, PeerMayBeRemovedWhileAnotherThreadCallsIt) {
+  constexpr int kRounds = 50;
+  PeerPair pair;
+  CHECK(pair.StartAndConnect());
+  std::atomic<bool> done = false;
+  std::atomic<int> open_calls = 0;
+  std::thread caller([&] {
+    while (!done) {
+      ++open_calls;
+      pair.alpha().Call(
+          "beta", kChannel, {}, kLongTimeout,
+          [&](const Result<std::vector<std::byte>>&) { --open_calls; });
+      (void)pair.alpha().Send("beta", kChannel, AsBytes("x"));
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  });
+  for (int i = 0; i < kRounds; ++i) {
+    pair.alpha().RemovePeer("beta");
+    pair.alpha().AddPeer({"beta", {"127.0.0.1", pair.alpha_relay().port()}});
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  done = true;
+  caller.join();
+  CHECK(WaitUntil([&] { return open_calls == 0; }));
+}
+
 // Guards against settings that only fail when the first peer is dialled.
 TEST(PeerNetwork, FaultyOptionsAreRefusedWithEveryFault) {
   PeerNetwork::Options options;
