Bramleyraild: Follow the members of the core in gateways

Two hypotheses: (1) a gateway never hears of the new machines; (2) it hears of the new leader, as an instance that does not lead names it, but cannot connect or is refused. The log of a gateway tells them apart: with (2), there are lines of failed dials or refused hellos for the new machines. In a run of the case on the program before this change, neither log line nor connection names one of them; the gateway dials its three seeds only. So (1): it learned addresses from its settings and from the name of the leader in a response, and no old machine that it asked lived long enough to name the new leader.

A gateway now asks all control instances that it knows for the members of the core, once a second, also when it has no requests. The leader alone lists them; the others name the leader. The query and the list are fields at the end of the relayed messages: an older control instance ignores the first and answers 404, and a gateway takes nothing from that answer. The gateway knows the seeds, the last list (32 names at most) and one named leader. What no source names any more is forgotten and not dialled again. Names without an IPv4 address are ignored. A gateway refuses instances that dial it: it used to take the address from the name of any of them.

Without an answer of a leader for 3 s, a gateway reads the settings file again until one answers. That serves a gateway that was away while all machines were replaced, and users may change the file without a signal. The list of the core comes first, since the file may arrive late.

--- a/packages/bramleyraild/bramleyraild_events.h
+++ b/packages/bramleyraild/bramleyraild_events.h
@@ -23,6 +23,8 @@
                                                       "settings_reloaded"};
 inline constexpr LogEventDefinition kDescriptorsDivided{
     8009, LogSeverity::kInfo, "descriptors_divided"};
+inline constexpr LogEventDefinition kControlInstancesChanged{
+    8010, LogSeverity::kInfo, "control_instances_changed"};
 
 }  // namespace bramleyrail
 
--- a/packages/bramleyraild/bramleyraild_main.cc
+++ b/packages/bramleyraild/bramleyraild_main.cc
@@ -1,8 +1,11 @@
 #include <gflags/gflags.h>
 #include <pthread.h>
 #include <signal.h>
+#include <time.h>
 
+#include <cerrno>
 #include <cstdio>
+#include <string>
 #include <utility>
 
 #include "absl/synchronization/mutex.h"
@@ -51,15 +54,29 @@
           platform::CallerTimeout,     platform::MakeReadyHandler};
 }
 
-// Waits for a stop signal; SIGHUP says that the settings file has changed.
+// Waits for a stop signal; SIGHUP says that the settings file has changed. It
+// may also change without a signal, so the instance may ask for it.
 void ServeRole(RoleInstance* instance, const sigset_t& signals) {
-  int received = 0;
-  while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+  constexpr timespec kPollInterval{.tv_sec = 1, .tv_nsec = 0};
+  std::string last_error;
+  while (true) {
+    const int received = sigtimedwait(&signals, nullptr, &kPollInterval);
+    const bool timed_out = received < 0 && (errno == EAGAIN || errno == EINTR);
+    if (!timed_out && received != SIGHUP) {
+      return;
+    }
+    if (timed_out && !instance->NeedsSettings()) {
+      continue;
+    }
     const auto settings = LoadRoleSettings(FLAGS_settings);
-    LogEvent(
-        kSettingsReloaded,
-        {{"accepted", settings.has_value()},
-         {"error", settings ? std::string() : settings.error().ToString()}});
+    const std::string error =
+        settings ? std::string() : settings.error().ToString();
+    // Without a signal, the file is read every few seconds during an outage.
+    if (received == SIGHUP || error != last_error) {
+      LogEvent(kSettingsReloaded,
+               {{"accepted", settings.has_value()}, {"error", error}});
+    }
+    last_error = error;
     if (settings) {
       instance->Reload(settings.value());
     }
--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -194,6 +194,19 @@
     return status.leader ? status.leader->name : std::string();
   }
 
+  // The latest configuration may not be committed yet. That does no harm, since
+  // the list is only used to reach the instances.
+  std::vector<std::string> MemberNames() const {
+    const ReplicaStatus status = queue_->replica().Status();
+    std::set<std::string> names;
+    for (const auto* ids : {&status.voters, &status.learners}) {
+      for (const ReplicaId& id : *ids) {
+        names.insert(id.name);
+      }
+    }
+    return {names.begin(), names.end()};
+  }
+
   void HandleRelayed(RelayedRequest request, PeerAnswer answer) {
     if (!service_->leads()) {
       RelayedResponse response;
@@ -205,6 +218,12 @@
       answer(EncodeRelayed(response));
       return;
     }
+    if (request.asks_members) {
+      RelayedResponse response;
+      response.members = MemberNames();
+      answer(EncodeRelayed(response));
+      return;
+    }
     const HttpHandler& handler =
         request.from_caller ? handle_caller_ : handle_control_;
     RunHandler(handler, FromRelayed(std::move(request)),
--- a/packages/bramleyraild/control_network.cc
+++ b/packages/bramleyraild/control_network.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "absl/strings/str_join.h"
+#include "packages/bramleyraild/bramleyraild_events.h"
+
 namespace bramleyrail {
 
 namespace {
@@ -15,11 +18,21 @@
              : GatewayInstanceName(settings.address);
 }
 
+std::vector<std::string> ControlNames(std::span<const std::string> ips) {
+  std::vector<std::string> names;
+  names.reserve(ips.size());
+  for (const std::string& ip : ips) {
+    names.push_back(ControlInstanceName(ip));
+  }
+  return names;
+}
+
 }  // namespace
 
 ControlNetwork::ControlNetwork(const RoleSettings& settings)
     : own_name_(OwnName(settings)),
-      port_(static_cast<uint16_t>(settings.peer_port)) {}
+      port_(static_cast<uint16_t>(settings.peer_port)),
+      members_(own_name_) {}
 
 Result<std::unique_ptr<ControlNetwork>> ControlNetwork::Create(
     const RoleSettings& settings,
@@ -31,25 +44,28 @@
   options.self = {self->own_name_, settings.failure_domain, settings.region};
   options.listen_address = {settings.address, self->port_};
   options.maximum_accepted_connections = maximum_accepted_connections;
-  for (const std::string& ip : settings.control_instances) {
-    const std::string name = ControlInstanceName(ip);
+  {
     absl::MutexLock lock(&self->mutex_);
-    if (name != self->own_name_ && self->known_.insert(name).second) {
-      options.peers.push_back({name, {ip, self->port_}});
+    const ControlMembers::Change change =
+        self->members_.SetSeeds(ControlNames(settings.control_instances));
+    for (const std::string& name : change.added) {
+      options.peers.push_back({name, {*ControlInstanceIp(name), self->port_}});
     }
   }
-  options.admit_unknown =
-      [self](std::string_view name) -> std::optional<SocketAddress> {
-    if (const auto ip = ControlInstanceIp(name)) {
+  if (settings.role == InstanceRole::kControl) {
+    options.admit_unknown =
+        [self](std::string_view name) -> std::optional<SocketAddress> {
+      if (IsGatewayInstanceName(name)) {
+        return SocketAddress{};
+      }
       absl::MutexLock lock(&self->mutex_);
-      self->known_.insert(std::string(name));
-      return SocketAddress{*ip, self->port_};
-    }
-    if (IsGatewayInstanceName(name)) {
-      return SocketAddress{};
-    }
-    return std::nullopt;
-  };
+      self->Apply(self->members_.Add(name), "hello");
+      if (!self->members_.names().contains(name)) {
+        return std::nullopt;
+      }
+      return SocketAddress{*ControlInstanceIp(name), self->port_};
+    };
+  }
   TRY(created, PeerNetwork::Create(std::move(options)));
   network->network_ = std::move(created);
   return network;
@@ -57,21 +73,47 @@
 
 std::vector<std::string> ControlNetwork::ControlInstances() const {
   absl::MutexLock lock(&mutex_);
-  return {known_.begin(), known_.end()};
+  return {members_.names().begin(), members_.names().end()};
 }
 
 void ControlNetwork::Learn(std::string_view name) {
-  const auto ip = ControlInstanceIp(name);
-  if (!ip || name == own_name_) {
+  absl::MutexLock lock(&mutex_);
+  Apply(members_.Add(name), "replication");
+}
+
+void ControlNetwork::SetSeeds(std::span<const std::string> ips) {
+  absl::MutexLock lock(&mutex_);
+  Apply(members_.SetSeeds(ControlNames(ips)), "settings");
+}
+
+void ControlNetwork::SetListed(std::span<const std::string> names) {
+  absl::MutexLock lock(&mutex_);
+  Apply(members_.SetListed(names), "leader");
+}
+
+void ControlNetwork::SetNamedLeader(std::string_view name) {
+  absl::MutexLock lock(&mutex_);
+  if (!members_.names().contains(name)) {
+    Apply(members_.SetNamedLeader(name), "named_leader");
+  }
+}
+
+void ControlNetwork::Apply(const ControlMembers::Change& change,
+                           std::string_view source) {
+  if (change.empty()) {
     return;
   }
-  {
-    absl::MutexLock lock(&mutex_);
-    if (!known_.insert(std::string(name)).second) {
-      return;
-    }
+  LogEvent(kControlInstancesChanged,
+           {{"added", absl::StrJoin(change.added, ",")},
+            {"removed", absl::StrJoin(change.removed, ",")},
+            {"known", members_.names().size()},
+            {"source", source}});
+  for (const std::string& name : change.added) {
+    network_->AddPeer({name, {*ControlInstanceIp(name), port_}});
+  }
+  for (const std::string& name : change.removed) {
+    network_->RemovePeer(name);
   }
-  network_->AddPeer({std::string(name), {*ip, port_}});
 }
 
 LeaderRelay::Options ControlNetwork::RelayOptions(RelayOrigin from) {
@@ -82,7 +124,7 @@
                         std::span<const std::byte> payload,
                         Milliseconds timeout, PeerCallCallback callback) {
     // The leader that another instance named may not be known yet.
-    Learn(peer);
+    SetNamedLeader(peer);
     network_->Call(peer, PeerChannel::kControl, payload, timeout,
                    std::move(callback));
   };
--- a/packages/bramleyraild/gateway_instance.cc
+++ b/packages/bramleyraild/gateway_instance.cc
@@ -5,6 +5,7 @@
 
 #include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/control_network.h"
+#include "packages/bramleyraild/member_poll.h"
 #include "packages/bramleyraild/role_instance.h"
 #include "packages/bramleyraild/role_metrics.h"
 
@@ -23,6 +24,10 @@
 constexpr Milliseconds kStopPoll{20};
 // Only control instances dial a gateway.
 constexpr size_t kMaximumPeers = 64;
+// Without an answer of a leader for this long, all known control instances may
+// have been replaced, and the settings file may list the new ones. An election
+// takes up to 2 s.
+constexpr Milliseconds kLeaderSilence{3'000};
 // Left of the stop deadline for ending the process.
 constexpr Milliseconds kStopReserve{700};
 
@@ -48,6 +53,7 @@
     network_ = std::move(network);
     relay_ = std::make_unique<LeaderRelay>(
         loop_.get(), network_->RelayOptions(RelayOrigin::kCaller));
+    poll_ = std::make_unique<MemberPoll>(loop_.get(), PollOptions());
     TRY(callers, AsyncHttpServer::Create(
                      loop_.get(), {.address = settings_.caller_address},
                      [this](HttpRequest request, HttpResponder respond) {
@@ -64,15 +70,20 @@
       metrics_ = std::move(metrics);
     }
     TRY(network_->network().Start());
+    settings_needed_at_ = std::chrono::steady_clock::now() + kLeaderSilence;
+    loop_->Post([this] { poll_->Start(); });
     thread_ = std::thread([this] { loop_->Run(); });
     LogEvent(kInstanceReady, {{"instance", settings_.instance}});
     return Success();
   }
 
   void Reload(const RoleSettings& settings) override {
-    for (const std::string& ip : settings.control_instances) {
-      network_->Learn(ControlInstanceName(ip));
-    }
+    network_->SetSeeds(settings.control_instances);
+    settings_needed_at_ = std::chrono::steady_clock::now() + kLeaderSilence;
+  }
+
+  bool NeedsSettings() const override {
+    return std::chrono::steady_clock::now() >= settings_needed_at_.load();
   }
 
   bool Stop() override {
@@ -92,6 +103,24 @@
   }
 
  private:
+  MemberPoll::Options PollOptions() {
+    LeaderRelay::Options relay =
+        network_->RelayOptions(RelayOrigin::kOperatorOrWorker);
+    MemberPoll::Options options;
+    options.instances = std::move(relay.instances);
+    options.call = std::move(relay.call);
+    options.on_leader_answer = [this](const std::vector<std::string>& members) {
+      settings_needed_at_ = std::chrono::steady_clock::now() + kLeaderSilence;
+      if (!members.empty()) {
+        network_->SetListed(members);
+      }
+    };
+    options.on_leader_named = [this](const std::string& leader) {
+      network_->SetNamedLeader(leader);
+    };
+    return options;
+  }
+
   bool IsReady() const { return !stopping_ && network_->IsConnected(); }
 
   size_t OpenRequests() const { return open_; }
@@ -136,12 +165,14 @@
   const std::unique_ptr<IoLoop> loop_;
   std::unique_ptr<ControlNetwork> network_;
   std::unique_ptr<LeaderRelay> relay_;
+  std::unique_ptr<MemberPoll> poll_;
   std::unique_ptr<AsyncHttpServer> callers_;
   std::unique_ptr<AsyncHttpServer> ready_;
   std::unique_ptr<AsyncHttpServer> metrics_;
   LatencyHistogram latency_;
   std::atomic<size_t> open_ = 0;
   std::atomic<bool> stopping_ = false;
+  std::atomic<MonotonicTime> settings_needed_at_;
   std::thread thread_;
 };
 
--- a/packages/bramleyraild/role_instance.h
+++ b/packages/bramleyraild/role_instance.h
@@ -27,6 +27,9 @@
 
   // Takes over settings that changed while the process runs.
   virtual void Reload(const RoleSettings& settings) = 0;
+  // True while the settings file should be read again although no signal says
+  // that it has changed.
+  virtual bool NeedsSettings() const { return false; }
   // Finishes what is in progress; returns false when the time ran out first.
   virtual bool Stop() = 0;
 };
--- a/packages/control/relayed_message.cc
+++ b/packages/control/relayed_message.cc
@@ -16,10 +16,12 @@
 
 auto Fields(codec::Is<RelayedRequest> auto& v) {
   return std::tie(v.from_caller, v.method, v.target, v.host, v.body,
-                  v.order_revision.asked, v.order_revision.expected);
+                  v.order_revision.asked, v.order_revision.expected,
+                  v.asks_members);
 }
 auto Fields(codec::Is<RelayedResponse> auto& v) {
-  return std::tie(v.not_leader, v.leader, v.status, v.retry_after_s, v.body);
+  return std::tie(v.not_leader, v.leader, v.status, v.retry_after_s, v.body,
+                  v.members);
 }
 
 std::vector<std::byte> EncodeRelayed(const RelayedRequest& request) {
@@ -41,9 +43,13 @@
 RelayedRequest ToRelayed(HttpRequest request, RelayOrigin from) {
   std::string host(FindHeader(request.headers, "Host"));
   const OrderRevision revision = OrderRevisionOf(request);
-  return {from == RelayOrigin::kCaller, std::move(request.method),
-          std::move(request.target),    std::move(host),
-          std::move(request.body),      revision};
+  return {from == RelayOrigin::kCaller,
+          std::move(request.method),
+          std::move(request.target),
+          std::move(host),
+          std::move(request.body),
+          revision,
+          false};
 }
 
 HttpRequest FromRelayed(RelayedRequest request) {
--- a/packages/control/relayed_message.h
+++ b/packages/control/relayed_message.h
@@ -21,6 +21,9 @@
   std::string host;
   std::string body;
   OrderRevision order_revision;
+  // Asks for the members of the core; the other fields are empty then. An older
+  // instance ignores the field and answers 404.
+  bool asks_members = false;
 };
 
 struct RelayedResponse {
@@ -31,6 +34,9 @@
   int64_t status = 0;
   int64_t retry_after_s = 0;  // 0: no Retry-After header.
   std::string body;
+  // Names of all replicas, voters and learners, in the answer of the leader to
+  // `asks_members`; else empty.
+  std::vector<std::string> members;
 };
 
 std::vector<std::byte> EncodeRelayed(const RelayedRequest& request);
