Dispatch: Bound the wait for an end that can't be read

A task whose run ended in an entry that its worker lists but that cannot be read stood still until another run ended there. When one did, its acknowledgement let the worker forget the unreadable end, and the task started again although that end may have been `done`. After a takeover, a worker that lists such an entry for good got no runs any more.

Cause: a list with such an entry counted as incomplete as a whole, and a run that it does not name as active for as long as that lasts, under a lease that was renewed. Nothing held the acknowledgements back. A new leader took only a complete list for a first contact.

The lists now tell which of the two cannot be read. With a readable list of running runs, a long-running run that is not named has ended, and its task starts at once: its end is never a result. With readable ends, a run without one is active. In the other cases the worker gets no lease, no new run and no acknowledgement. A list that was requested after all its leases had expired shows that the run has ended; the end is acknowledged only then and does not count any more. Acknowledgements also wait while the end may be that of a start without an outcome. Such a list is a first contact for a new leader.

The workers of the fixture now list an unreadable end under its number, answer at once because of it, and forget it when a later one is acknowledged; before, it stayed for good. They count starts after an end `done` that counts, and starts beside another run. The platform's tests check each list by itself.

--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -48,6 +48,8 @@
                                                 "task_stands"};
 inline constexpr LogEventDefinition kStandingTasks{9222, LogSeverity::kInfo,
                                                    "standing_tasks"};
+inline constexpr LogEventDefinition kLeaseWithheld{9223, LogSeverity::kWarning,
+                                                   "lease_withheld"};
 inline constexpr LogEventDefinition kWorkerCrashCounted{
     9220, LogSeverity::kWarning, "worker_crash_counted"};
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -358,6 +358,39 @@
                             const LeaseRenewalResponse& response,
                             MonotonicTime sent,
                             MonotonicTime now);
+  // What a list shows about a run that it does not name.
+  enum class UnlistedRun {
+    kPending,     // The list may have been made before the run began.
+    kActive,      // The run's own entry cannot be read.
+    kEnded,       // Its end does not matter, or never will.
+    kUnresolved,  // The run may have ended with a result that cannot be read.
+  };
+  struct ListEvidence {
+    const LeaseRenewalResponse& response;
+    MonotonicTime sent;  // The request.
+    // The request was sent after all leases of the worker had expired.
+    bool after_all_leases = false;
+  };
+  UnlistedRun ClassifyUnlistedRun(const RunKey& key,
+                                  const TrackedRun& run,
+                                  const ListEvidence& list,
+                                  MonotonicTime now);
+  // Whether the task of the run must not start again if the run is done.
+  bool MayHaveResult(const RunKey& key);
+  // Ends the runs that the list shows to have ended without a report. Withholds
+  // the lease while the list leaves open whether one has.
+  void ResolveUnlistedRuns(TrackedWorker* worker,
+                           const LeaseRenewalResponse& response,
+                           MonotonicTime sent,
+                           MonotonicTime now);
+  // Handles the ends in the lists of a worker that may have unknown runs of an
+  // earlier leader, because some entry cannot be read. Returns false for other
+  // lists. Without further leases these runs end, and their tasks can start
+  // again; a task that is done must not.
+  bool HandleUnknownLists(TrackedWorker* worker,
+                          const LeaseRenewalResponse& response,
+                          MonotonicTime sent,
+                          MonotonicTime now);
   void RecordMeasurement(TrackedRun* run, MonotonicTime now);
   void AdoptRun(TrackedWorker* worker,
                 const ReportedRun& reported,
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -26,8 +26,6 @@
 // A best-effort run that uses less than this share of the processor time that
 // it may use is in a light phase.
 constexpr double kBusyUtilization = 0.85;
-// A worker lists at most this many finished runs at a time.
-constexpr size_t kMaximumListedFinishedRuns = 500;
 
 Milliseconds Backoff(int64_t failures) {
   const int64_t shift = std::clamp<int64_t>(failures - 1, 0, 10);
@@ -35,15 +33,6 @@
                   kMaximumFailureBackoff);
 }
 
-// Whether a worker that responded with this clock rejects all start orders of
-// the run. Its clock alone does not show that: it may have jumped ahead.
-bool CanNoLongerBegin(const TrackedRun& run,
-                      int64_t clock_ms,
-                      MonotonicTime now) {
-  return run.start_validity && clock_ms > run.start_validity->until_ms &&
-         now >= run.start_validity->until;
-}
-
 }  // namespace
 
 void Dispatcher::HandleStartResponse(const WorkerAddress& address,
@@ -322,35 +311,7 @@
     run->measurement = reported.measurement;
     RecordMeasurement(run, now);
   }
-  // The end of a run may be behind the listed ones, or in an entry that cannot
-  // be read.
-  if (!response.complete ||
-      response.finished.size() >= kMaximumListedFinishedRuns) {
-    return;
-  }
-  worker->contacted = true;
-  std::vector<RunKey> missing;
-  for (const auto& [key, run] : worker->runs()) {
-    // The lease renewal was sent after the worker had confirmed the run or its
-    // stop, so the worker would report the run if it were still active. After
-    // a renewal of this leader, it rejects the start orders of earlier ones.
-    const bool expected = (run.confirmed && *run.confirmed < sent) ||
-                          run.from_earlier_leader ||
-                          CanNoLongerBegin(run, response.clock_ms, now);
-    if (expected && run.list_number != worker->list_number) {
-      missing.push_back(key);
-    }
-  }
-  for (const RunKey& key : missing) {
-    worker->RemoveRun(key);
-    LogEvent(kRunEnded, {{"task", key.first.ToString()},
-                         {"run", key.second},
-                         {"worker", worker->registration().id},
-                         {"end", std::string_view("not_listed")}});
-    AvoidWorker(key.first, *worker);
-    RecordEnd(key);
-    Requeue(key.first, key.second, now);
-  }
+  ResolveUnlistedRuns(worker, response, sent, now);
 }
 
 void Dispatcher::RecordMeasurement(TrackedRun* run, MonotonicTime now) {
--- a/packages/dispatch/dispatcher_standing_tasks.cc
+++ b/packages/dispatch/dispatcher_standing_tasks.cc
@@ -32,11 +32,16 @@
   }
   switch (run->phase) {
     case RunPhase::kRunning:
-      if (worker->second->failed_renewals == 0) {
-        return std::nullopt;
+      if (worker->second->failed_renewals > 0) {
+        standing.reason = StandingReason::kSilentWorker;
+        return standing;
       }
-      standing.reason = StandingReason::kSilentWorker;
-      return standing;
+      if (worker->second->lease_withheld &&
+          run->list_number != worker->second->list_number) {
+        standing.reason = StandingReason::kUnreadableLists;
+        return standing;
+      }
+      return std::nullopt;
     case RunPhase::kStopping:
       standing.reason = StandingReason::kStopUnconfirmed;
       return standing;
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -269,8 +269,8 @@
   }
   const TrackedWorker& worker = *found->second;
   // After a failed renewal, a later incarnation might execute the order.
-  return worker.failed_renewals == 0 && !worker.deregistered &&
-         !worker.registration().draining;
+  return worker.failed_renewals == 0 && !worker.has_unresolved_lists() &&
+         !worker.deregistered && !worker.registration().draining;
 }
 
 void Dispatcher::RecordEnd(const RunKey& key) {
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -157,16 +157,22 @@
 
 void Dispatcher::RenewLease(TrackedWorker* worker, MonotonicTime now) {
   LeaseRenewalOrder order;
-  // A worker that does not respond gets no new lease, so that its current lease
-  // expires and its runs can start elsewhere.
-  if (worker->failed_renewals == 0 && !worker->deregistered) {
+  // A worker that does not respond, or not with lists that tell what became of
+  // a run, gets no new lease, so that its current lease expires and its runs
+  // can start elsewhere.
+  if (worker->failed_renewals == 0 && !worker->lease_withheld &&
+      !worker->deregistered) {
     order.lease_until_ms = worker->GrantLease(options_.lease, now);
   }
   // After a failure, the worker may have been restarted. The numbers of
   // finished runs start anew then, and an acknowledgement would make the worker
   // discard some that this leader has never received.
   order.acknowledged_through =
-      worker->failed_renewals == 0 ? worker->acknowledged_through : 0;
+      worker->failed_renewals > 0
+          ? 0
+          : std::min(worker->acknowledged_through,
+                     worker->acknowledgement_limit.value_or(
+                         worker->acknowledged_through));
   if (worker->contacted && worker->failed_renewals == 0) {
     order.wait = HasRunOverTarget(*worker) ? kOverTargetRenewalWait
                                            : options_.renewal_wait;
@@ -396,17 +402,8 @@
   // An entry that cannot be read may be a run of an earlier leader. Without
   // further leases it ends, and its task can start again. The ends that can be
   // read count nevertheless: a task that is done must not start again.
-  if (outcome == OrderOutcome::kAccepted && !response.complete &&
-      !worker->contacted) {
-    // They are not acknowledged, and are handled again when the whole list can
-    // be read: an end before them may be the unreadable one.
-    const int64_t received_through = worker->received_through;
-    for (const ReportedFinishedRun& reported : response.finished) {
-      HandleFinishedRun(worker, reported, now);
-    }
-    worker->received_through = received_through;
-    worker->awaiting_durability = false;
-    received_through_.erase(address.id);
+  if (outcome == OrderOutcome::kAccepted &&
+      HandleUnknownLists(worker, response, sent, now)) {
     outcome = OrderOutcome::kUnknown;
   }
   due_workers_.push_back(address.id);
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -275,7 +275,8 @@
     }
   }
   if (worker->unreadable) {
-    response.complete = response.running.empty() && response.finished.empty();
+    response.running_complete = response.running.empty();
+    response.finished_complete = response.finished.empty();
     response.running.erase(
         response.running.begin(),
         response.running.begin() + (response.running.empty() ? 0 : 1));
--- a/packages/dispatch/standing_task.cc
+++ b/packages/dispatch/standing_task.cc
@@ -14,6 +14,8 @@
       return "stop_unconfirmed";
     case StandingReason::kSilentWorker:
       return "silent_worker";
+    case StandingReason::kUnreadableLists:
+      return "unreadable_lists";
     case StandingReason::kDelay:
       return "delay";
     case StandingReason::kGang:
--- a/packages/dispatch/standing_task.h
+++ b/packages/dispatch/standing_task.h
@@ -17,6 +17,7 @@
   kStartUnconfirmed,  // The outcome of its start order.
   kStopUnconfirmed,   // The end of its last run, which was ordered to stop.
   kSilentWorker,      // The lease of the worker of its run, which is silent.
+  kUnreadableLists,   // The same, of a worker whose lists cannot be read.
   kDelay,             // The pause after a failure or a rejected start.
   kGang,              // Another member of its gang that is not ready.
   kCrashRecord,       // The record of a crash of its worker.
--- a/packages/dispatch/tests/order_delivery_fixture.h
+++ b/packages/dispatch/tests/order_delivery_fixture.h
@@ -48,6 +48,13 @@
   static constexpr Milliseconds kMaximumLease{6'000};
   static constexpr size_t kListedEnds = 500;
 
+  struct ListedEnd {
+    ReportedFinishedRun end;
+    bool unreadable = false;
+    // The lease lapsed after the end, or a run of the task began after it.
+    bool lapsed = false;
+    bool followed = false;
+  };
   struct Worker {
     WorkerRegistration registration;
     MonotonicTime clock_start;
@@ -55,12 +62,14 @@
     int64_t lease_until_ms = 0;
     std::vector<RunKey> runs;
     std::map<TaskName, uint64_t> highest_ended;
-    std::vector<ReportedFinishedRun> ends;
+    std::vector<ListedEnd> ends;
     int64_t last_end = 0;
-    // The worker lists an entry that cannot be read.
+    // The worker always lists an end that cannot be read.
     bool unreadable = false;
     // The next end is in an entry that cannot be read.
     bool next_end_unreadable = false;
+    // Runs in entries that cannot be read.
+    std::set<RunKey> unreadable_runs;
   };
   struct OpenRenewal {
     WorkerOrder order;
@@ -77,6 +86,11 @@
   std::multimap<MonotonicTime, std::function<void()>> events_;
   std::vector<OpenRenewal> open_renewals_;
   MonotonicTime next_heartbeats_;
+  // TWICE: tasks with an end `done` that was acknowledged while the lease of
+  // its worker had not lapsed, and starts in spite of such an end or beside
+  // another run.
+  std::set<TaskName> done_tasks_;
+  int starts_too_many_ = 0;
   // Workers whose machine is unreachable.
   std::set<std::string> unreachable_;
   std::function<Delivery(const WorkerOrder&)> delivery_ =
@@ -101,6 +115,8 @@
     events_.clear();
     open_renewals_.clear();
     unreachable_.clear();
+    done_tasks_.clear();
+    starts_too_many_ = 0;
     setup();
   }
 
@@ -149,14 +165,16 @@
     SendHeartbeats();
   }
 
-  void SubmitLongRunningTask() {
+  void SubmitLongRunningTask() { SubmitTask("job", true); }
+
+  void SubmitTask(const std::string& id, bool long_running) {
     SubmitJob job;
-    job.id = "job";
+    job.id = id;
     job.queue = "queue";
     job.pool = "pool";
     job.maximum_attempts = 4;
     job.specification = FakePool::Job(1, 1);
-    job.specification.steps[0].long_running = true;
+    job.specification.steps[0].long_running = long_running;
     Apply(job);
   }
 
@@ -206,13 +224,13 @@
     uint64_t& highest = worker->highest_ended[key.first];
     highest = std::max(highest, key.second);
     ++worker->last_end;
-    if (std::exchange(worker->next_end_unreadable, false)) {
-      worker->unreadable = true;
-      return;
-    }
-    worker->ends.push_back({worker->last_end,
-                            {key.first, key.second, RunOutcome::kInterrupted},
-                            std::move(reason)});
+    const RunOutcome outcome = reason == "done"     ? RunOutcome::kDone
+                               : reason == "failed" ? RunOutcome::kFailed
+                                                    : RunOutcome::kInterrupted;
+    worker->ends.push_back({{worker->last_end,
+                             {key.first, key.second, outcome},
+                             std::move(reason)},
+                            std::exchange(worker->next_end_unreadable, false)});
   }
 
  private:
@@ -239,9 +257,15 @@
 
   void EndExpiredLeases() {
     for (auto& [id, worker] : workers_) {
-      while (ClockOf(worker) > worker.lease_until_ms && !worker.runs.empty()) {
+      if (ClockOf(worker) <= worker.lease_until_ms) {
+        continue;
+      }
+      while (!worker.runs.empty()) {
         End(&worker, worker.runs.front(), "lapsed");
       }
+      for (ListedEnd& listed : worker.ends) {
+        listed.lapsed = true;
+      }
     }
   }
 
@@ -338,11 +362,35 @@
     const RunKey key(start.task, start.run);
     if (std::find(worker->runs.begin(), worker->runs.end(), key) ==
         worker->runs.end()) {
+      ObserveStart(start.task);
       worker->runs.push_back(key);
     }
     return OrderOutcome::kAccepted;
   }
 
+  void ObserveStart(const TaskName& task) {
+    bool too_many = done_tasks_.contains(task);
+    for (auto& [id, worker] : workers_) {
+      too_many = too_many || std::any_of(worker.runs.begin(), worker.runs.end(),
+                                         [&task](const RunKey& run) {
+                                           return run.first == task;
+                                         });
+      for (ListedEnd& listed : worker.ends) {
+        listed.followed =
+            listed.followed || listed.end.finished_run.task == task;
+      }
+    }
+    starts_too_many_ += too_many ? 1 : 0;
+  }
+
+  void ObserveAcknowledged(const ListedEnd& listed) {
+    if (listed.end.reason != "done" || listed.lapsed) {
+      return;
+    }
+    done_tasks_.insert(listed.end.finished_run.task);
+    starts_too_many_ += listed.followed ? 1 : 0;
+  }
+
   void Stop(Worker* worker, const StopOrder& stop) {
     const RunKey key(stop.task, stop.run);
     if (std::find(worker->runs.begin(), worker->runs.end(), key) !=
@@ -358,8 +406,12 @@
     if (renewal.lease_until_ms) {
       ExtendLease(worker, *renewal.lease_until_ms);
     }
-    std::erase_if(worker->ends, [&renewal](const ReportedFinishedRun& end) {
-      return end.number <= renewal.acknowledged_through;
+    std::erase_if(worker->ends, [&](const ListedEnd& listed) {
+      if (listed.end.number > renewal.acknowledged_through) {
+        return false;
+      }
+      ObserveAcknowledged(listed);
+      return true;
     });
   }
 
@@ -369,7 +421,8 @@
       const auto worker = workers_.find(renewal.order.worker.id);
       const bool ready =
           now_ >= renewal.respond_at ||
-          (worker != workers_.end() && !worker->second.ends.empty());
+          (worker != workers_.end() &&
+           (worker->second.unreadable || !worker->second.ends.empty()));
       if (ready) {
         due.push_back(renewal);
       }
@@ -393,12 +446,21 @@
   LeaseRenewalResponse ListsOf(const Worker& worker) const {
     LeaseRenewalResponse lists;
     lists.clock_ms = ClockOf(worker);
-    for (const auto& [task, run] : worker.runs) {
-      lists.running.push_back({task, run, "", 100, std::nullopt});
+    for (const RunKey& key : worker.runs) {
+      if (worker.unreadable_runs.contains(key)) {
+        lists.running_complete = false;
+      } else {
+        lists.running.push_back({key.first, key.second, "", 100, std::nullopt});
+      }
+    }
+    for (size_t i = 0; i < std::min(worker.ends.size(), kListedEnds); ++i) {
+      if (worker.ends[i].unreadable) {
+        lists.finished_complete = false;
+      } else {
+        lists.finished.push_back(worker.ends[i].end);
+      }
     }
-    lists.finished = worker.ends;
-    lists.finished.resize(std::min(lists.finished.size(), kListedEnds));
-    lists.complete = !worker.unreadable;
+    lists.finished_complete = lists.finished_complete && !worker.unreadable;
     return lists;
   }
 
--- a/packages/dispatch/tests/worker_contact_test.cc
+++ b/packages/dispatch/tests/worker_contact_test.cc
@@ -157,7 +157,7 @@
   ListRunning(5'010, {run});
   LeaseRenewalResponse response;
   response.clock_ms = 5'050;
-  response.complete = false;
+  response.finished_complete = false;
   now_ += Milliseconds(50);
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
                                           response, now_, now_);
@@ -175,7 +175,7 @@
   dispatcher_->ObserveClock("w", kUnixMs, 5'000, now_);
   LeaseRenewalResponse response;
   response.clock_ms = 5'000;
-  response.complete = false;
+  response.finished_complete = false;
   Step<LeaseRenewalOrder>(Milliseconds(10));
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
                                           response, now_, now_);
@@ -195,7 +195,7 @@
   dispatcher_ = std::make_unique<Dispatcher>(Dispatcher::Options(), 2, now_);
   dispatcher_->Synchronize(state_, now_);
   LeaseRenewalResponse response{.clock_ms = 5'000};
-  response.complete = false;
+  response.finished_complete = false;
   response.finished.push_back(
       {1,
        {first.front().task, first.front().run, RunOutcome::kDone, ""},
@@ -217,13 +217,13 @@
   const RunKey run(first.front().task, first.front().run);
   ListRunning(5'010, {run});
   LeaseRenewalResponse response{.clock_ms = 5'050};
-  response.complete = false;
+  response.finished_complete = false;
   response.finished.push_back(
       {2, {{"other", 0, 0, 0}, 1, RunOutcome::kDone, ""}, "done"});
   now_ += Milliseconds(50);
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
                                           response, now_, now_);
-  response.complete = true;
+  response.finished_complete = true;
   response.finished.insert(
       response.finished.begin(),
       {1, {run.first, run.second, RunOutcome::kDone, ""}, "done"});
@@ -245,14 +245,14 @@
   dispatcher_->Synchronize(state_, now_);
   Step<LeaseRenewalOrder>(Milliseconds(0));
   LeaseRenewalResponse response{.clock_ms = 5'000};
-  response.complete = false;
+  response.finished_complete = false;
   response.finished.push_back(
       {2, {{"other", 0, 0, 0}, 1, RunOutcome::kDone, ""}, "done"});
   dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kAccepted,
                                           response, now_, now_);
   dispatcher_->MarkFinishedRunsDurable(dispatcher_->TakeFinishedRuns().number);
   LONGS_EQUAL(0, StepToRenewal(Milliseconds(300)).acknowledged_through);
-  response.complete = true;
+  response.finished_complete = true;
   response.finished.insert(
       response.finished.begin(),
       {1,
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -182,6 +182,15 @@
   // durable and may be acknowledged to the worker.
   int64_t received_through = 0;
   int64_t acknowledged_through = 0;
+  // No later finished run is acknowledged while an unreadable end may be that
+  // of a run whose result counts.
+  std::optional<int64_t> acknowledgement_limit;
+  // The worker gets no further lease, because its lists cannot be read
+  // completely and do not show whether some run has ended.
+  bool lease_withheld = false;
+  bool has_unresolved_lists() const {
+    return lease_withheld || acknowledgement_limit.has_value();
+  }
   // Received finished runs are not durable yet.
   bool awaiting_durability = false;
   // Earliest time to look for orders without a response again.
--- a/packages/dispatch/worker_order.h
+++ b/packages/dispatch/worker_order.h
@@ -102,9 +102,12 @@
   int64_t clock_ms = 0;  // The worker's clock when it responded.
   std::vector<ReportedRun> running;
   std::vector<ReportedFinishedRun> finished;
-  // False when the worker listed an entry that cannot be read: a run that is
-  // missing in the lists may still be active then, or may have finished.
-  bool complete = true;
+  // False when the worker listed an entry there that cannot be read: a run that
+  // is missing in the list may be active, or have finished, nevertheless.
+  bool running_complete = true;
+  bool finished_complete = true;
+
+  bool IsComplete() const { return running_complete && finished_complete; }
 };
 
 }  // namespace bramleyrail
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -169,7 +169,8 @@
   // Without the worker's clock, a start order could not carry a lease. After a
   // failed renewal, a later incarnation might execute the order.
   return worker.failed_renewals == 0 && worker.contacted &&
-         worker.has_clock() && !worker.deregistered && !registration.draining &&
+         !worker.has_unresolved_lists() && worker.has_clock() &&
+         !worker.deregistered && !registration.draining &&
          registration.pool == pool &&
          !evacuated.contains(registration.failure_domain) &&
          now - worker.last_response < kMaximumResponseAge &&
