Dispatch: Let the gangs of the fake pool follow the workers' protocol

A member of a gang whose other members never began, or had ended before it began, ran on for ever in the fake pool. A real worker ends it as `alone`, so the liveness of gangs could not be tested.

The fake follows the protocol's sections on gangs now: the members of one run are the tasks that carry the same run number; they work from the moment when all of them are present; a member that has waited 3 s for the others ends as `alone`; one whose other member has ended, by a crash, too, ends as `broken` within 0.3 s as before; and they end as `done` together, so that one such end represents all. The checks of the fake are as strict as before: a member may not start once another one is recorded as done, either.

--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -13,8 +13,6 @@
 constexpr int64_t kMaximumAttempts = 4;
 constexpr int64_t kBaselineTailMs = 8;
 constexpr int64_t kInterferenceTailMs = 90;
-// Within this time, a member of a gang notices the end of another one.
-constexpr uint64_t kMaximumGangEndMs = 300;
 
 }  // namespace
 
@@ -231,7 +229,9 @@
   run.image = step.image;
   run.target_ms = step.target_latency_ms;
   run.long_running = step.long_running;
-  worker->runs[key] = run;
+  run.gang_members = options_.ends_gangs && step.gang ? step.tasks : 0;
+  Run& added = worker->runs[key] = run;
+  JoinGang(key, &added);
   return OrderOutcome::kAccepted;
 }
 
@@ -295,23 +295,39 @@
   for (const auto& [key, run] : worker->runs) {
     if (lease_expired) {
       ended.emplace_back(key, "lapsed");
-    } else if (run.gang_ends_at && *run.gang_ends_at <= now_) {
-      ended.emplace_back(key, "gang_ended");
+    } else if (run.gang_breaks && *run.gang_breaks <= now_) {
+      ended.emplace_back(key, "broken");
+    } else if (run.gang_members > 0 && !run.gang_complete) {
+      if (run.gang_wait_ends <= now_) {
+        ended.emplace_back(key, "alone");
+      }
+    } else if (run.gang_breaks) {
+      // The members of a gang end as done together only.
+      continue;
     } else if (run.end_time <= now_ && !run.long_running) {
       const bool fails = worker->fails_all || Random() < options_.fail_task;
       ended.emplace_back(key, fails ? "failed" : "done");
     }
   }
   for (auto& [key, reason] : ended) {
-    FinishRun(worker, key, reason);
+    // The end of one member as done may have ended others.
+    if (worker->runs.contains(key)) {
+      FinishRun(worker, key, reason);
+    }
   }
 }
 
 void FakePool::FinishRun(Worker* worker,
                          const RunKey& key,
                          std::string reason) {
-  worker->runs.erase(key);
-  EndGangOf(key);
+  const auto run = worker->runs.find(key);
+  const bool in_gang = run->second.gang_members > 0;
+  worker->runs.erase(run);
+  if (in_gang && reason == "done") {
+    FinishGangOf(key);
+  } else if (in_gang) {
+    BreakGangOf(key);
+  }
   uint64_t& highest = worker->highest_finished[key.first];
   highest = std::max(highest, key.second);
   ReportedFinishedRun end;
@@ -326,25 +342,6 @@
   worker->finished_at.push_back(now_);
 }
 
-void FakePool::EndGangOf(const RunKey& ended) {
-  const TaskName& task = ended.first;
-  const QueuedJob* job = state_.FindJob(task.job);
-  if (!options_.ends_gangs || job == nullptr ||
-      job->outcome != JobOutcome::kOpen ||
-      !job->specification.steps[task.step].gang) {
-    return;
-  }
-  for (Worker& worker : workers_) {
-    for (auto& [key, run] : worker.runs) {
-      if (key.second == ended.second && key.first.job == task.job &&
-          key.first.step == task.step && !run.gang_ends_at) {
-        run.gang_ends_at =
-            now_ + Milliseconds(1 + random_() % kMaximumGangEndMs);
-      }
-    }
-  }
-}
-
 void FakePool::ObserveAcknowledged(const Worker& worker,
                                    int64_t from,
                                    int64_t through) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -49,7 +49,8 @@
     // Whether commands carry the simulated time. Otherwise all carry the same
     // time, long before the first step, so that ordinary jobs are late.
     bool stamps_commands = false;
-    // When a member of a gang ends, so do its others, shortly afterwards.
+    // Whether the members of gangs end with each other, or when the others
+    // don't come, as the workers' protocol says.
     bool ends_gangs = false;
   };
 
@@ -148,8 +149,13 @@
     int64_t target_ms = 0;
     int64_t cpu_limit_percent = 100;
     bool long_running = false;
-    // Another member of the gang has ended.
-    std::optional<MonotonicTime> gang_ends_at;
+    int64_t gang_members = 0;  // 0: not in a gang.
+    // All members have been present at the same time.
+    bool gang_complete = false;
+    // The run ends as `alone` then unless the gang is complete before.
+    MonotonicTime gang_wait_ends;
+    // Another member of the gang has ended; the run ends as `broken` then.
+    std::optional<MonotonicTime> gang_breaks;
   };
   struct Worker {
     WorkerRegistration registration;
@@ -206,7 +212,12 @@
   void CrashDueWorkers();
   void AdvanceWorker(Worker* worker);
   void FinishRun(Worker* worker, const RunKey& key, std::string reason);
-  void EndGangOf(const RunKey& ended);
+  // The running members of the gang of `key`, without the run itself.
+  std::vector<std::pair<Worker*, RunKey>> OtherMembers(const RunKey& key);
+  void JoinGang(const RunKey& key, Run* run);
+  // Call after a run in a gang has ended.
+  void BreakGangOf(const RunKey& ended);
+  void FinishGangOf(const RunKey& done);
   std::pair<OrderOutcome, LeaseRenewalResponse>
   Execute(Worker* worker, const WorkerOrder& order, int64_t fence);
   OrderOutcome StartRun(Worker* worker, const StartOrder& start);
--- a/packages/dispatch/fakes/fake_pool_crashes.cc
+++ b/packages/dispatch/fakes/fake_pool_crashes.cc
@@ -69,7 +69,9 @@
   const std::map<RunKey, Run> runs = std::move(worker.runs);
   worker = std::move(next);
   for (const auto& [key, run] : runs) {
-    EndGangOf(key);
+    if (run.gang_members > 0) {
+      BreakGangOf(key);
+    }
   }
 }
 
--- a/packages/dispatch/fakes/fake_pool_delivery.cc
+++ b/packages/dispatch/fakes/fake_pool_delivery.cc
@@ -33,8 +33,20 @@
 
 void FakePool::RecordEnds(const Dispatcher::FinishedRunBatch& batch) {
   for (const FinishedRun& end : batch.finished_runs) {
-    if (end.outcome == RunOutcome::kDone) {
-      recorded_done_.insert(end.task);
+    if (end.outcome != RunOutcome::kDone) {
+      continue;
+    }
+    recorded_done_.insert(end.task);
+    const QueuedJob* job = state_.FindJob(end.task.job);
+    if (job == nullptr || !job->specification.steps[end.task.step].gang) {
+      continue;
+    }
+    // One end as done represents all members of a gang.
+    TaskName member = end.task;
+    for (member.index = 0;
+         member.index < job->specification.steps[end.task.step].tasks;
+         ++member.index) {
+      recorded_done_.insert(member);
     }
   }
   state_.Apply({kStartUnixMs, RecordFinishedRuns{batch.finished_runs}});
