Dispatch: Reserve workers for long-running gangs that wait for room

A long-running gang did not start as long as small tasks came that filled all workers of its pool.

Cause: the small tasks took each part of the room that the gang needs as soon as it was free, and only single tasks reserved workers against that.

A gang that has waited 500 ms reserves workers for all its members at once, as few as possible, by size, label and the limit of tasks per worker. All or none, and one gang of a pool at a time: so gangs cannot hold parts of each other's room. The workers of that gang come on top of the tenth that single tasks share, because a gang with more members than that would never get its room. The reservation ends as a whole: when the gang has started or its job has ended, when a worker is lost, or after 5 s.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -200,11 +200,29 @@
   void EndReservations(const PlacementPass& pass);
   bool IsReservationUseful(const TrackedWorker& worker,
                            const PlacementPass& pass);
-  // Reserves one more worker for the step, if it waits for room.
+  // Whether the worker gets no new runs for a short time only.
+  static bool IsPaused(const TrackedWorker& worker, MonotonicTime now);
+  // Whether the pass may start tasks on the worker; true for a pool that it has
+  // not tried.
+  static bool IsEligible(const TrackedWorker& worker,
+                         const std::string& pool_name,
+                         const PlacementPass& pass);
+  // Whether the gang still needs all its reserved workers.
+  bool IsGangReservationUseful(const TaskName& first,
+                               const std::vector<const TrackedWorker*>& workers,
+                               const PlacementPass& pass);
+  // Fills `gang_reservations_`, too.
+  std::set<TaskName> FindUsefulGangReservations(const PlacementPass& pass);
+  // Reserves one more worker for the step, or all those that a gang needs, if
+  // it waits for room.
   void ReserveForStep(const TaskName& first,
                       TrackedJob* job,
                       const PlacementPass& pass,
                       ReservationSearch* search);
+  void ReserveForGang(const TaskName& first,
+                      TrackedJob* job,
+                      const PlacementPass& pass,
+                      ReservationSearch* search);
   void Reserve(TrackedWorker* worker,
                const TaskName& step,
                const TrackedStep& tracked_step,
@@ -388,6 +406,8 @@
   ReadySteps ready_;
   // By the first task of a step, how many workers are reserved for it.
   std::map<TaskName, size_t> reservations_;
+  // By pool, the first task of the gang that has workers reserved.
+  std::map<std::string, TaskName> gang_reservations_;
   // When the next occurrence of a job is due, and the job.
   std::set<std::pair<int64_t, std::string>> releases_;
   std::vector<WorkerOrder> orders_;
