Dispatch: Count a crash only against runs that have begun

Callers saw a job as `failed` after one crash of a worker and no end `failed`. The next start of the task had been ordered from a worker that had already lost its power, and the end of that worker counted as a second crash.

Two hypotheses. (a) Dispatcher::PossibleCrashes takes every run with an order sent for one that may have caused the crash, also without a confirmation or an entry in a list. (b) The crash of the first run counts twice, once while its lease runs out and once when its successor registers. With (a), a single run whose start has no response is recorded; with (b), one run that has begun is recorded twice over several restarts. On the code before, UnansweredStartDoesNotCount fails and CrashOfOneRunCountsOnceOverSeveralRestarts passes: (a).

A run now counts once its worker has confirmed the start, called the run too old, or listed it; the confirmation of a stop shows nothing. An unanswered start only puts the task under suspicion, which costs some delay, and does not hide an earlier run of the worker. A run that begins ends the series. The leader keeps the series to itself, so a new leader begins it anew.

--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -50,6 +50,8 @@
                                                    "standing_tasks"};
 inline constexpr LogEventDefinition kWorkerCrashCounted{
     9220, LogSeverity::kWarning, "worker_crash_counted"};
+inline constexpr LogEventDefinition kUnansweredStart{9223, LogSeverity::kInfo,
+                                                     "unanswered_start"};
 
 }  // namespace bramleyrail
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -315,6 +315,17 @@
   // runs that may have caused it.
   void RecordCrash(TrackedWorker* worker);
   void CountCrash(const TrackedWorker& worker, const PossibleCrash& possible);
+  // Records a run that is not known to have begun before its worker ended.
+  void CountUnansweredStart(const TrackedWorker& worker,
+                            const FinishedRun& unanswered,
+                            TrackedJob* job,
+                            TrackedTask* record);
+  void CountCrashOfRun(const TrackedWorker& worker,
+                       const FinishedRun& crashed,
+                       TrackedJob* job,
+                       TrackedTask* record);
+  // A run of the task is known to have begun.
+  void ForgetUnansweredStarts(const TaskName& task);
   // The crashes to record if the worker's process has ended.
   static std::vector<PossibleCrash> PossibleCrashes(
       const TrackedWorker& worker);
--- a/packages/dispatch/dispatcher_crashes.cc
+++ b/packages/dispatch/dispatcher_crashes.cc
@@ -10,6 +10,13 @@
 
 namespace {
 
+// A worker confirms a start within milliseconds, so one that ends before that
+// has probably failed for a reason of its own, and a wrong count fails the job.
+// A task that ends each worker before the confirmation leaves only such starts,
+// though. The rules allow it to start twice more after three crashes, so five
+// in succession count.
+constexpr int64_t kUnansweredStartLimit = 5;
+
 // The name under which the crashes of the task count.
 TaskName FailureRecordName(TaskName task, const JobStep& step) {
   task.index = step.gang ? 0 : task.index;
@@ -22,6 +29,7 @@
     const TrackedWorker& worker) {
   std::vector<PossibleCrash> recent;
   std::vector<PossibleCrash> earlier;
+  std::vector<PossibleCrash> unanswered;
   bool attributable = true;
   for (const auto& [key, run] : worker.runs()) {
     // This leader has not ordered it, and it may never have started.
@@ -38,29 +46,36 @@
     }
     const PossibleCrash possible{{FailureRecordName(key.first, *run.step),
                                   key.second, RunOutcome::kCrashSuspected, ""},
-                                 is_recent};
+                                 is_recent,
+                                 run.listed || run.start_confirmed};
+    if (!possible.has_begun) {
+      // The worker has responded for some time since an earlier order, and did
+      // not execute it meanwhile.
+      if (is_recent) {
+        attributable = false;
+        unanswered.push_back(possible);
+      }
+      continue;
+    }
     if (!is_recent) {
       if (!run.step->long_running) {
         earlier.push_back(possible);
       }
       continue;
     }
-    // An order that was not confirmed may never have been executed.
-    const bool has_started = run.listed || run.confirmed.has_value();
-    const bool same_record =
-        recent.empty() || recent.front().run.task == possible.run.task;
-    attributable = attributable && has_started && same_record;
+    attributable = attributable && (recent.empty() || recent.front().run.task ==
+                                                          possible.run.task);
     recent.push_back(possible);
   }
-  // A run that the worker has survived for some time is the cause only if there
-  // is no more recent one.
-  if (recent.empty()) {
-    return earlier;
-  }
-  if (attributable) {
+  if (!recent.empty() && attributable) {
     recent.front().run.outcome = RunOutcome::kCrashAttributed;
   }
-  return recent;
+  // A run that the worker has survived for some time is the cause only if no
+  // more recent one has begun.
+  std::vector<PossibleCrash> crashes =
+      recent.empty() ? std::move(earlier) : std::move(recent);
+  crashes.insert(crashes.end(), unanswered.begin(), unanswered.end());
+  return crashes;
 }
 
 void Dispatcher::RecordCrash(TrackedWorker* worker) {
@@ -80,24 +95,62 @@
 
 void Dispatcher::CountCrash(const TrackedWorker& worker,
                             const PossibleCrash& possible) {
-  const FinishedRun& crashed = possible.run;
-  TrackedJob* job = FindJob(crashed.task.job);
-  if (job == nullptr || !job->HasTask(crashed.task)) {
+  TrackedJob* job = FindJob(possible.run.task.job);
+  if (job == nullptr || !job->HasTask(possible.run.task)) {
+    return;
+  }
+  TrackedTask& record = job->FailureRecordOf(possible.run.task);
+  if (record.phase == TaskPhase::kDone ||
+      record.crashed_runs.contains(possible.run.run)) {
+    return;
+  }
+  // Two crashes of one machine say less about the task.
+  record.avoid_worker = worker.registration().id;
+  if (possible.has_begun) {
+    record.unanswered_runs.clear();
+    CountCrashOfRun(worker, possible.run, job, &record);
+  } else {
+    CountUnansweredStart(worker, possible.run, job, &record);
+  }
+  // The next run of a suspected task is isolated. That costs little, so an
+  // unanswered start suffices.
+  if (possible.is_recent || record.crashed_runs.size() > 1) {
+    job->SuspectOfCrashes(possible.run.task);
+  }
+}
+
+void Dispatcher::CountUnansweredStart(const TrackedWorker& worker,
+                                      const FinishedRun& unanswered,
+                                      TrackedJob* job,
+                                      TrackedTask* record) {
+  if (!record->unanswered_runs.insert(unanswered.run).second) {
     return;
   }
-  TrackedTask& task = job->FailureRecordOf(crashed.task);
-  if (task.phase == TaskPhase::kDone ||
-      !task.crashed_runs.insert(crashed.run).second) {
+  LogEvent(kUnansweredStart, {{"task", unanswered.task.ToString()},
+                              {"run", unanswered.run},
+                              {"worker", worker.registration().id},
+                              {"unanswered", record->unanswered_runs.size()}});
+  if (std::ssize(record->unanswered_runs) < kUnansweredStartLimit) {
     return;
   }
-  task.attributed_crashes +=
+  for (const uint64_t run : std::exchange(record->unanswered_runs, {})) {
+    FinishedRun crashed = unanswered;
+    crashed.run = run;
+    CountCrashOfRun(worker, crashed, job, record);
+  }
+}
+
+void Dispatcher::CountCrashOfRun(const TrackedWorker& worker,
+                                 const FinishedRun& crashed,
+                                 TrackedJob* job,
+                                 TrackedTask* record) {
+  record->crashed_runs.insert(crashed.run);
+  record->attributed_crashes +=
       crashed.outcome == RunOutcome::kCrashAttributed ? 1 : 0;
   finished_runs_.push_back(crashed);
-  task.crash_batch = last_batch_ + 1;
-  // Two crashes of one machine say less about the task.
-  task.avoid_worker = worker.registration().id;
-  const CrashCount crashes{static_cast<int64_t>(task.crashed_runs.size()),
-                           task.attributed_crashes};
+  record->crash_batch = last_batch_ + 1;
+  const CrashCount crashes{static_cast<int64_t>(record->crashed_runs.size()),
+                           record->attributed_crashes};
   LogEvent(
       kWorkerCrashCounted,
       {{"task", crashed.task.ToString()},
@@ -106,8 +159,12 @@
        {"crashes", crashes.all},
        {"attributed", crashes.attributed},
        {"given_up", IsCrashLimitReached(job->step(crashed.task), crashes)}});
-  if (possible.is_recent || crashes.all > 1) {
-    job->SuspectOfCrashes(crashed.task);
+}
+
+void Dispatcher::ForgetUnansweredStarts(const TaskName& task) {
+  TrackedJob* job = FindJob(task.job);
+  if (job != nullptr && job->HasTask(task)) {
+    job->FailureRecordOf(task).unanswered_runs.clear();
   }
 }
 
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -67,6 +67,12 @@
     worker->avoid_until = now + kUnhealthyPause;
     return;
   }
+  // A run that is too old was executed by an earlier start order.
+  if (outcome == OrderOutcome::kAccepted ||
+      outcome == OrderOutcome::kRunTooOld) {
+    run->start_confirmed = true;
+    ForgetUnansweredStarts(task);
+  }
   if (run->phase != RunPhase::kStarting) {
     return;
   }
@@ -243,6 +249,7 @@
     return;
   }
   finished_runs_.push_back(finished);
+  ForgetUnansweredStarts(finished.task);
   TrackedStep& tracked_step = job->step_record(finished.task);
   if (tracked_step.crash_suspect == finished.task.index &&
       finished.outcome != RunOutcome::kInterrupted) {
@@ -300,6 +307,9 @@
       AdoptRun(worker, reported, now);
       continue;
     }
+    if (!run->listed) {
+      ForgetUnansweredStarts(reported.task);
+    }
     run->listed = true;
     run->list_number = worker->list_number;
     if (run->phase == RunPhase::kStarting) {
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -251,6 +251,7 @@
   for (auto& [key, run] : earlier->runs()) {
     run.phase = RunPhase::kStarting;
     run.listed = false;
+    run.start_confirmed = false;
     run.list_number = 0;
     run.start_validity.reset();
     run.started = now;
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -31,6 +31,9 @@
   // Numbers of the runs whose worker crashed, as in TaskProgress.
   std::set<uint64_t> crashed_runs;
   int64_t attributed_crashes = 0;
+  // Numbers of the runs whose worker ended without a sign that the run had
+  // begun, since a run of the task was last known to begin.
+  std::set<uint64_t> unanswered_runs;
   // A recent run may have crashed its worker, so the next one is isolated.
   bool crash_suspected = false;
   // The batch of finished runs with the last crash; 0: none.
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -54,6 +54,8 @@
   // When the worker confirmed the last start or stop order, or first reported
   // the run as running.
   std::optional<MonotonicTime> confirmed;
+  // This incarnation of the worker confirmed a start order of the run.
+  bool start_confirmed = false;
   // A list of this incarnation of the worker has named the run.
   bool listed = false;
   uint64_t list_number = 0;  // Of the last list that named the run.
@@ -94,6 +96,8 @@
   FinishedRun run;
   // The run started shortly before the end.
   bool is_recent = false;
+  // The worker is known to have executed the start order.
+  bool has_begun = false;
 };
 
 // The leader's record of one incarnation of a worker.
