--- a/packages/dispatch/tests/order_delivery_fixture.h
+++ b/packages/dispatch/tests/order_delivery_fixture.h
@@ -15,27 +15,13 @@
 #include "packages/dispatch/dispatch.h"
 #include "packages/dispatch/fakes/fake_pool.h"
 #include "packages/dispatch/fakes/recorded_step.h"
+#include "packages/dispatch/tests/delivery.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
 
 namespace bramleyrail {
 
-// What becomes of an order. A late order is executed this long after it was
-// sent, and the response to it is lost.
-struct Delivery {
-  enum class Kind { kInTime, kLost, kLate };
-  Kind kind = Kind::kInTime;
-  Milliseconds delay{0};
-};
-
-inline Delivery Lost() {
-  return {Delivery::Kind::kLost, Milliseconds(0)};
-}
-inline Delivery Late(Milliseconds delay) {
-  return {Delivery::Kind::kLate, delay};
-}
-
 // Workers that execute orders as the protocol says. In contrast to FakePool,
 // they delay the response to a lease renewal while no run ends, and the test
 // decides on the delivery of each order.
