Dispatch: Start a gang elsewhere after a start that never began

Cause: the placement of a gang ignored the worker that the last run of a member marked, so that the member went back there each time.

GangMember.LostStartsDoNotLeadBackToTheirWorker fails without the mark in the request, and passes with it.

--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -342,6 +342,7 @@
     request.job = &job->job();
     request.step = &step;
     request.task = task;
+    request.avoid_worker = job->task(task).avoid_worker;
     request.preferred_rack = rack;
     request.now = now;
     counters_.worker_ratings += eligible.workers.size();
--- a/packages/dispatch/tests/gang_member_test.cc
+++ b/packages/dispatch/tests/gang_member_test.cc
@@ -51,6 +51,20 @@
   STRCMP_EQUAL("", pool_.violation().c_str());
 }
 
+// LOST: fails when a member is started again and again on a worker that renews
+// its lease but never receives a start, although another one has room.
+TEST(GangMember, LostStartsDoNotLeadBackToTheirWorker) {
+  FakePool pool({.workers = 3, .ends_gangs = true});
+  pool.SetCut(1, FakePool::Cut::kStarts);
+  JobSpecification job = FakePool::Job(2, 1);
+  job.steps[0].long_running = true;
+  job.steps[0].gang = true;
+  job.steps[0].maximum_tasks_per_worker = 1;
+  pool.Submit("gang", job);
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 2; }, kLongEnough));
+  STRCMP_EQUAL("", pool.violation().c_str());
+}
+
 // Fails when an ordinary gang is not done once all its members have run beside
 // each other, or before that.
 TEST(GangMember, GangIsDoneOnlyAfterAllMembersRan) {
