--- a/review/stand_ins_2/deployment.sh
+++ b/review/stand_ins_2/deployment.sh
@@ -28,6 +28,7 @@
 
 finish() {
   local name
+  exec 2>/dev/null  # Reports of the shell on the processes that end here.
   for name in "${!process_ids[@]}"; do
     kill -CONT "${process_ids[$name]}" 2>/dev/null
     kill -KILL "${process_ids[$name]}" 2>/dev/null
@@ -153,3 +154,33 @@
   done
   return 1
 }
+
+# An executor behind a proxy that can cut it off from every process of the
+# system. The proxy has the executor's address, and relays its heartbeats.
+# number zone
+start_executor_behind_proxy() {
+  local ip=$network.1$1 inner=$network.2$1 pairs=() control=() position
+  pairs=("$ip:$executor_port=$inner:$executor_port")
+  for position in 0 1 2; do
+    pairs+=("$inner:$((executor_port + 1 + position))=${seeds[$position]}")
+    control+=("$inner:$((executor_port + 1 + position))")
+  done
+  "$stand_ins/proxy" "${pairs[@]}" >>"$folder/proxy-$1.log" 2>&1 &
+  process_ids[proxy-$1]=$!
+  sleep 0.1
+  "$stand_ins/executor" --id="executor-$1" --address="$ip:$executor_port" \
+    --listen="$inner:$executor_port" --service="$service" --zone="$2" --rack="rack-$2" \
+    --control="${control[0]},${control[1]},${control[2]}" --record="$record" \
+    >>"$folder/executor-$1.log" 2>&1 &
+  process_ids[executor-$1]=$!
+}
+
+begin_cut() {
+  note "platform begin of a cut with resets of executor-$1"
+  kill -USR1 "${process_ids[proxy-$1]}"
+}
+
+end_cut() {
+  note "platform end of the cut of executor-$1"
+  kill -USR2 "${process_ids[proxy-$1]}"
+}
--- a/review/stand_ins_2/executor.cc
+++ b/review/stand_ins_2/executor.cc
@@ -5,7 +5,9 @@
 //
 //   executor --id=ID --address=IP:PORT --service=NAME --zone=NAME --rack=NAME
 //            --cpu=N --mem=N --control=IP:PORT,IP:PORT,... --record=FILE
-//            [--heartbeat_ms=N] [--hold_max_ms=N]
+//            [--heartbeat_ms=N] [--hold_max_ms=N] [--listen=IP:PORT]
+//
+// Behind a proxy, it listens at another address than the one it names.
 //
 // A task works for the milliseconds that its spec names as "work_ms=N"; with 0
 // it runs until it is stopped. A stop signal ends the process at once.
@@ -35,8 +37,8 @@
 
 struct Options {
   std::string id;
-  std::string ip;
-  int port = 0;
+  std::string address;
+  std::string listen;  // Empty: at the address.
   std::string service;
   std::string zone;
   std::string rack;
@@ -87,7 +89,7 @@
   Json Heartbeat() {
     std::lock_guard<std::mutex> lock(mutex_);
     return {{"service", options_.service},
-            {"address", options_.ip + ":" + std::to_string(options_.port)},
+            {"address", options_.address},
             {"zone", options_.zone},
             {"version", "v1"},
             {"slots", 8},
@@ -327,11 +329,8 @@
     const std::string name = argument.substr(0, equals);
     const std::string value = argument.substr(equals + 1);
     if (name == "--id") options.id = value;
-    if (name == "--address") {
-      const auto parts = Split(value, ':');
-      options.ip = parts[0];
-      options.port = std::stoi(parts[1]);
-    }
+    if (name == "--address") options.address = value;
+    if (name == "--listen") options.listen = value;
     if (name == "--service") options.service = value;
     if (name == "--zone") options.zone = value;
     if (name == "--rack") options.rack = value;
@@ -378,7 +377,8 @@
   });
   executor.Record("up born " + std::to_string(executor.born()));
   std::thread heartbeats([&executor, &options] { SendHeartbeats(&executor, options); });
-  server.listen(options.ip.c_str(), options.port);
+  const auto address = Split(options.listen.empty() ? options.address : options.listen, ':');
+  server.listen(address[0].c_str(), std::stoi(address[1]));
   std::fprintf(stderr, "executor %s: cannot listen\n", options.id.c_str());
   _exit(1);
 }
