--- a/review/stand_ins_2/executor.cc
+++ b/review/stand_ins_2/executor.cc
@@ -46,7 +46,7 @@
   int64_t mem = 32768;
   std::vector<std::string> control;
   std::string record;
-  int64_t heartbeat_ms = 500;
+  int64_t heartbeat_ms = 1500;
   int64_t hold_max_ms = 6000;
 };
 
