--- a/review/stand_ins_2/deployment.sh
+++ b/review/stand_ins_2/deployment.sh
@@ -157,21 +157,31 @@
 
 # An executor behind a proxy that can cut it off from every process of the
 # system. The proxy has the executor's address, and relays its heartbeats.
-# number zone
+# number zone [further options of the executor]
 start_executor_behind_proxy() {
-  local ip=$network.1$1 inner=$network.2$1 pairs=() control=() position
+  local ip=$network.1$1 inner=$network.2$1 pairs=() position
   pairs=("$ip:$executor_port=$inner:$executor_port")
   for position in 0 1 2; do
     pairs+=("$inner:$((executor_port + 1 + position))=${seeds[$position]}")
-    control+=("$inner:$((executor_port + 1 + position))")
   done
-  "$stand_ins/proxy" "${pairs[@]}" >>"$folder/proxy-$1.log" 2>&1 &
+  "$stand_ins/proxy" "${proxy_options[@]}" "${pairs[@]}" >>"$folder/proxy-$1.log" 2>&1 &
   process_ids[proxy-$1]=$!
   sleep 0.1
+  start_executor_process "$@"
+}
+
+proxy_options=()
+
+# The executor alone, as after a crash.
+start_executor_process() {
+  local ip=$network.1$1 inner=$network.2$1 control=() position
+  for position in 0 1 2; do
+    control+=("$inner:$((executor_port + 1 + position))")
+  done
   "$stand_ins/executor" --id="executor-$1" --address="$ip:$executor_port" \
     --listen="$inner:$executor_port" --service="$service" --zone="$2" --rack="rack-$2" \
     --control="${control[0]},${control[1]},${control[2]}" --record="$record" \
-    >>"$folder/executor-$1.log" 2>&1 &
+    "${@:3}" >>"$folder/executor-$1.log" 2>&1 &
   process_ids[executor-$1]=$!
 }
 
--- a/review/stand_ins_2/executor.cc
+++ b/review/stand_ins_2/executor.cc
@@ -6,23 +6,25 @@
 //   executor --id=ID --address=IP:PORT --service=NAME --zone=NAME --rack=NAME
 //            --cpu=N --mem=N --control=IP:PORT,IP:PORT,... --record=FILE
 //            [--heartbeat_ms=N] [--hold_max_ms=N] [--listen=IP:PORT]
+//            [--kind=NAME]
 //
 // Behind a proxy, it listens at another address than the one it names.
 //
 // A task works for the milliseconds that its spec names as "work_ms=N"; with 0
-// it runs until it is stopped. A stop signal ends the process at once.
+// it runs until it is stopped. With "answer_ms=N" the start is answered that
+// much later. A stop signal ends the process at once.
 
 #include <httplib.h>
 #include <signal.h>
 #include <unistd.h>
 
+#include <fcntl.h>
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <cstdio>
-#include <fcntl.h>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -42,6 +44,7 @@
   std::string service;
   std::string zone;
   std::string rack;
+  std::string kind = "a";
   int64_t cpu = 16000;
   int64_t mem = 32768;
   std::vector<std::string> control;
@@ -55,6 +58,7 @@
   int64_t run = 0;
   int64_t started_ms = 0;
   int64_t work_ms = 0;  // 0: until it is stopped.
+  bool listed = false;
 };
 
 struct End {
@@ -74,7 +78,8 @@
  public:
   explicit Executor(Options options)
       : options_(std::move(options)), born_(UnixMs()) {
-    record_ = open(options_.record.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    record_ =
+        open(options_.record.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   }
 
   int64_t born() const { return born_; }
@@ -95,15 +100,16 @@
             {"slots", 8},
             {"state", "ready"},
             {"cold_remaining_ms", 0},
-            {"capacity", {{"cpu", options_.cpu}, {"mem_mb", options_.mem}, {"gpu", 0}}},
-            {"labels", {"a", options_.rack}},
+            {"capacity",
+             {{"cpu", options_.cpu}, {"mem_mb", options_.mem}, {"gpu", 0}}},
+            {"labels", {options_.kind, options_.rack}},
             {"born", born_},
             {"clock_ms", ClockMs()},
             {"seq", ++sequence_}};
   }
 
   void HandleStart(const Json& body, httplib::Response* response) {
-    std::lock_guard<std::mutex> lock(mutex_);
+    std::unique_lock<std::mutex> lock(mutex_);
     Advance();
     const std::string task = body.at("task");
     const int64_t run = body.at("run");
@@ -123,11 +129,15 @@
       return Refuse("late", response);
     }
     ExtendLease(body);
-    Run added{task, run, ClockMs(), WorkOf(body.at("spec"))};
+    const std::string spec = body.at("spec");
+    Run added{task, run, ClockMs(), NumberOf(spec, "work_ms=", 1000)};
     running_.push_back(added);
     Record("start " + task + " run " + std::to_string(run) + " fence " +
            std::to_string(fence_));
     Accept(response);
+    lock.unlock();
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(NumberOf(spec, "answer_ms=", 0)));
   }
 
   void HandleStop(const Json& body, httplib::Response* response) {
@@ -140,10 +150,9 @@
     }
     int64_t& highest = highest_ended_[task];
     highest = std::max(highest, run);
-    const auto found =
-        std::find_if(running_.begin(), running_.end(), [&](const Run& item) {
-          return item.task == task && item.run == run;
-        });
+    const auto found = std::find_if(
+        running_.begin(), running_.end(),
+        [&](const Run& item) { return item.task == task && item.run == run; });
     if (found != running_.end()) {
       EndRun(*found, "stopped");
       running_.erase(found);
@@ -167,10 +176,12 @@
     const int64_t last_seen = body.value("last_seen", int64_t{0});
     for (const End& end : ends_) {
       if (end.number <= last_seen) {
-        Record("noted " + end.task + " run " + std::to_string(end.run) + " " + end.how);
+        Record("noted " + end.task + " run " + std::to_string(end.run) + " " +
+               end.how);
       }
     }
-    std::erase_if(ends_, [&](const End& end) { return end.number <= last_seen; });
+    std::erase_if(ends_,
+                  [&](const End& end) { return end.number <= last_seen; });
     const auto limit = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds(std::clamp<int64_t>(
                            body.value("wait_ms", int64_t{0}), 0, 2000));
@@ -179,11 +190,16 @@
       Advance();
     }
     Json running = Json::array();
-    for (const Run& run : running_) {
+    for (Run& run : running_) {
+      if (!run.listed) {
+        run.listed = true;
+        Record("listed " + run.task + " run " + std::to_string(run.run));
+      }
       const int64_t percent =
           run.work_ms == 0
               ? 100
-              : std::min<int64_t>(99, (ClockMs() - run.started_ms) * 100 / run.work_ms);
+              : std::min<int64_t>(
+                    99, (ClockMs() - run.started_ms) * 100 / run.work_ms);
       running.push_back({run.task, run.run, "", percent, 0});
     }
     Json ended = Json::array();
@@ -214,9 +230,13 @@
            1000;
   }
 
-  static int64_t WorkOf(const std::string& spec) {
-    const size_t position = spec.find("work_ms=");
-    return position == std::string::npos ? 1000 : std::stoll(spec.substr(position + 8));
+  static int64_t NumberOf(const std::string& spec,
+                          const std::string& name,
+                          int64_t missing) {
+    const size_t position = spec.find(name);
+    return position == std::string::npos
+               ? missing
+               : std::stoll(spec.substr(position + name.size()));
   }
 
   const Run* Find(const std::string& task) const {
@@ -239,9 +259,9 @@
 
   void ExtendLease(const Json& body) {
     if (body.contains("until_ms")) {
-      lease_until_ms_ = std::max(
-          lease_until_ms_, std::min(body.at("until_ms").get<int64_t>(),
-                                    ClockMs() + options_.hold_max_ms));
+      lease_until_ms_ =
+          std::max(lease_until_ms_, std::min(body.at("until_ms").get<int64_t>(),
+                                             ClockMs() + options_.hold_max_ms));
     }
   }
 
@@ -256,7 +276,8 @@
   void Advance() {
     const bool lapsed = ClockMs() > lease_until_ms_;
     std::erase_if(running_, [&](const Run& run) {
-      const bool done = run.work_ms > 0 && ClockMs() - run.started_ms >= run.work_ms;
+      const bool done =
+          run.work_ms > 0 && ClockMs() - run.started_ms >= run.work_ms;
       if (lapsed || done) {
         EndRun(run, lapsed ? "lapsed" : "done");
       }
@@ -265,18 +286,21 @@
   }
 
   void Accept(httplib::Response* response) {
-    response->set_content(Json{{"clock_ms", ClockMs()}}.dump(), "application/json");
+    response->set_content(Json{{"clock_ms", ClockMs()}}.dump(),
+                          "application/json");
   }
 
   void Refuse(const char* reason, httplib::Response* response) {
     response->status = 409;
-    response->set_content(Json{{"clock_ms", ClockMs()}, {"reason", reason}}.dump(),
-                          "application/json");
+    response->set_content(
+        Json{{"clock_ms", ClockMs()}, {"reason", reason}}.dump(),
+        "application/json");
   }
 
   const Options options_;
   const int64_t born_;
-  const std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+  const std::chrono::steady_clock::time_point started_ =
+      std::chrono::steady_clock::now();
   int record_ = -1;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -303,7 +327,8 @@
   while (true) {
     const std::string body = executor->Heartbeat().dump();
     for (size_t attempt = 0; attempt < options.control.size(); ++attempt) {
-      const auto address = Split(options.control[node % options.control.size()], ':');
+      const auto address =
+          Split(options.control[node % options.control.size()], ':');
       httplib::Client client(address[0], std::stoi(address[1]));
       client.set_connection_timeout(1);
       client.set_read_timeout(1);
@@ -314,7 +339,8 @@
       }
       ++node;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(options.heartbeat_ms));
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(options.heartbeat_ms));
   }
 }
 
@@ -328,37 +354,52 @@
     const size_t equals = argument.find('=');
     const std::string name = argument.substr(0, equals);
     const std::string value = argument.substr(equals + 1);
-    if (name == "--id") options.id = value;
-    if (name == "--address") options.address = value;
-    if (name == "--listen") options.listen = value;
-    if (name == "--service") options.service = value;
-    if (name == "--zone") options.zone = value;
-    if (name == "--rack") options.rack = value;
-    if (name == "--cpu") options.cpu = std::stoll(value);
-    if (name == "--mem") options.mem = std::stoll(value);
-    if (name == "--control") options.control = Split(value, ',');
-    if (name == "--record") options.record = value;
-    if (name == "--heartbeat_ms") options.heartbeat_ms = std::stoll(value);
-    if (name == "--hold_max_ms") options.hold_max_ms = std::stoll(value);
+    if (name == "--id")
+      options.id = value;
+    if (name == "--address")
+      options.address = value;
+    if (name == "--listen")
+      options.listen = value;
+    if (name == "--service")
+      options.service = value;
+    if (name == "--zone")
+      options.zone = value;
+    if (name == "--rack")
+      options.rack = value;
+    if (name == "--kind")
+      options.kind = value;
+    if (name == "--cpu")
+      options.cpu = std::stoll(value);
+    if (name == "--mem")
+      options.mem = std::stoll(value);
+    if (name == "--control")
+      options.control = Split(value, ',');
+    if (name == "--record")
+      options.record = value;
+    if (name == "--heartbeat_ms")
+      options.heartbeat_ms = std::stoll(value);
+    if (name == "--hold_max_ms")
+      options.hold_max_ms = std::stoll(value);
   }
   Executor executor(options);
   httplib::Server server;
   using Handler = void (Executor::*)(const Json&, httplib::Response*);
   const auto bind = [&](const char* path, Handler handler) {
-    server.Post(path, [&executor, &options, handler](const httplib::Request& request,
-                                                     httplib::Response& response) {
-      if (request.has_header("X-Expect-Instance") &&
-          request.get_header_value("X-Expect-Instance") != options.id) {
-        response.status = 421;
-        return;
-      }
-      const Json body = Json::parse(request.body, nullptr, false);
-      try {
-        (executor.*handler)(body, &response);
-      } catch (const Json::exception&) {
-        response.status = 400;
-      }
-    });
+    server.Post(
+        path, [&executor, &options, handler](const httplib::Request& request,
+                                             httplib::Response& response) {
+          if (request.has_header("X-Expect-Instance") &&
+              request.get_header_value("X-Expect-Instance") != options.id) {
+            response.status = 421;
+            return;
+          }
+          const Json body = Json::parse(request.body, nullptr, false);
+          try {
+            (executor.*handler)(body, &response);
+          } catch (const Json::exception&) {
+            response.status = 400;
+          }
+        });
   };
   bind("/run-start", &Executor::HandleStart);
   bind("/run-stop", &Executor::HandleStop);
@@ -376,8 +417,10 @@
     }
   });
   executor.Record("up born " + std::to_string(executor.born()));
-  std::thread heartbeats([&executor, &options] { SendHeartbeats(&executor, options); });
-  const auto address = Split(options.listen.empty() ? options.address : options.listen, ':');
+  std::thread heartbeats(
+      [&executor, &options] { SendHeartbeats(&executor, options); });
+  const auto address =
+      Split(options.listen.empty() ? options.address : options.listen, ':');
   server.listen(address[0].c_str(), std::stoi(address[1]));
   std::fprintf(stderr, "executor %s: cannot listen\n", options.id.c_str());
   _exit(1);
--- a/review/stand_ins_2/http_call.cc
+++ b/review/stand_ins_2/http_call.cc
@@ -10,12 +10,14 @@
 
 int main(int argc, char** argv) {
   if (argc < 4) {
-    std::fprintf(stderr, "usage: http_call METHOD IP:PORT PATH [HOST [BODY]]\n");
+    std::fprintf(stderr,
+                 "usage: http_call METHOD IP:PORT PATH [HOST [BODY]]\n");
     return 2;
   }
   const std::string address = argv[2];
   const size_t colon = address.rfind(':');
-  httplib::Client client(address.substr(0, colon), std::stoi(address.substr(colon + 1)));
+  httplib::Client client(address.substr(0, colon),
+                         std::stoi(address.substr(colon + 1)));
   client.set_connection_timeout(1);
   client.set_read_timeout(3);
   httplib::Request request;
