--- a/review/stand_ins_2/executor.cc
+++ b/review/stand_ins_2/executor.cc
@@ -182,10 +182,11 @@
     }
     std::erase_if(ends_,
                   [&](const End& end) { return end.number <= last_seen; });
+    forgotten_through_ = std::max(forgotten_through_, last_seen);
     const auto limit = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds(std::clamp<int64_t>(
                            body.value("wait_ms", int64_t{0}), 0, 2000));
-    while (ends_.empty() && std::chrono::steady_clock::now() < limit) {
+    while (!HasEndToList() && std::chrono::steady_clock::now() < limit) {
       changed_.wait_for(lock, std::chrono::milliseconds(20));
       Advance();
     }
@@ -204,7 +205,7 @@
     }
     Json ended = Json::array();
     for (const End& end : ends_) {
-      if (ended.size() < 500) {
+      if (end.number > forgotten_through_ && ended.size() < 500) {
         ended.push_back({end.number, end.task, end.run, end.how, ""});
       }
     }
@@ -239,6 +240,10 @@
                : std::stoll(spec.substr(position + name.size()));
   }
 
+  bool HasEndToList() const {
+    return !ends_.empty() && ends_.back().number > forgotten_through_;
+  }
+
   const Run* Find(const std::string& task) const {
     for (const Run& run : running_) {
       if (run.task == task) {
@@ -308,6 +313,9 @@
   int64_t fence_ = 0;
   int64_t lease_until_ms_ = 0;
   int64_t last_number_ = 0;
+  // Ends up to the highest last_seen are forgotten. They stay in the list until
+  // a later call reaches them, which the record notes.
+  int64_t forgotten_through_ = 0;
   std::vector<Run> running_;
   std::vector<End> ends_;
   std::map<std::string, int64_t> highest_ended_;
