Dispatch: Do not count refused connections as a crash

Cause: two lease renewals in succession whose connections were refused counted as the end of the worker's process. A worker that is cut off by resets refuses connections, too, and works on. Two cuts after the start of a task ended its job.

Change: refused connections make the recent runs of the worker suspected and count nothing. A crash counts once another process shows it: a later incarnation, or another worker at the address. The suspicion ends with the next response of the worker. - As before, the other tasks of a suspected step wait meanwhile. A task that would be given up if all suspected workers had crashed pauses 15 s, 30 s and so on before it starts again (WorkerCrash.TaskThatEndsItsWorkersForGoodStartsSeldom, TaskOfWorkersThatStayCutOffStartsAgain). - worker_crash_counted tells the evidence, and crash_suspected is new.

--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -52,6 +52,8 @@
                                                    "lease_withheld"};
 inline constexpr LogEventDefinition kWorkerCrashCounted{
     9220, LogSeverity::kWarning, "worker_crash_counted"};
+inline constexpr LogEventDefinition kCrashSuspected{9225, LogSeverity::kInfo,
+                                                    "crash_suspected"};
 inline constexpr LogEventDefinition kUnansweredStart{9223, LogSeverity::kInfo,
                                                      "unanswered_start"};
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -89,7 +89,7 @@
     std::unique_ptr<TrackedWorker> earlier;
     if (worker != nullptr && worker->registration().started_unix_ms !=
                                  registration.started_unix_ms) {
-      RecordCrash(worker.get());
+      RecordCrash(worker.get(), "a later incarnation registered");
       RequeueRunsOfEndedIncarnation(worker.get(), now);
       ForgetAcknowledgements(id);
       earlier.swap(worker);
@@ -127,7 +127,7 @@
     worker->deregistered_since = now;
     // Another worker registered with the address, so this process has ended.
     if (addresses.contains(worker->registration().address)) {
-      RecordCrash(worker.get());
+      RecordCrash(worker.get(), "another worker registered its address");
       RequeueLostRuns(worker.get(), "another worker has its address", now);
     }
   }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "packages/dispatch/cpu_limit_policy.h"
+#include "packages/dispatch/dispatcher_counters.h"
 #include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/latency_interference_model.h"
 #include "packages/dispatch/ready_steps.h"
@@ -57,23 +58,7 @@
     RecordPlacements command;
   };
 
-  struct Counters {
-    uint64_t starts = 0;
-    uint64_t starts_refused = 0;
-    uint64_t runs_completed = 0;
-    uint64_t runs_failed = 0;
-    uint64_t runs_interrupted = 0;
-    uint64_t runs_lost = 0;
-    uint64_t lease_renewals = 0;
-    uint64_t cpu_limit_orders = 0;
-    // How often a worker was rated for a task.
-    uint64_t worker_ratings = 0;
-    // How often a job was looked at to follow changes of the state, and a ready
-    // task or a run because a job had ended.
-    uint64_t job_visits = 0;
-    uint64_t ready_task_visits = 0;
-    uint64_t run_visits = 0;
-  };
+  using Counters = DispatcherCounters;
 
   Dispatcher(Options options, int64_t leader_epoch, MonotonicTime now);
 
@@ -331,15 +316,24 @@
                    MonotonicTime now);
   // Records the end of a worker's process that it did not announce, against the
   // runs that may have caused it.
-  void RecordCrash(TrackedWorker* worker);
-  void CountCrash(const TrackedWorker& worker, const PossibleCrash& possible);
+  void RecordCrash(TrackedWorker* worker, std::string_view evidence);
+  // The worker's process may have ended, or the worker may only be cut off.
+  // Isolates the runs that may have caused an end, and counts nothing.
+  void SuspectCrash(TrackedWorker* worker, MonotonicTime now);
+  // The worker has responded, so its process has not ended.
+  void WithdrawSuspicion(TrackedWorker* worker);
+  void CountCrash(const TrackedWorker& worker,
+                  const PossibleCrash& possible,
+                  std::string_view evidence);
   // Records a run that is not known to have begun before its worker ended.
   void CountUnansweredStart(const TrackedWorker& worker,
                             const FinishedRun& unanswered,
+                            std::string_view evidence,
                             TrackedJob* job,
                             TrackedTask* record);
   void CountCrashOfRun(const TrackedWorker& worker,
                        const FinishedRun& crashed,
+                       std::string_view evidence,
                        TrackedJob* job,
                        TrackedTask* record);
   // A run of the task is known to have begun.
@@ -351,7 +345,13 @@
   // under other tasks of its step.
   bool IsHeldAfterCrash(TrackedJob* job,
                         const TaskName& task,
-                        TrackedStep* step) const;
+                        TrackedStep* step,
+                        MonotonicTime now) const;
+  // Whether the task waits until it is known whether workers that refuse
+  // connections have crashed under it.
+  static bool IsHeldBySuspicion(TrackedJob* job,
+                                const TaskName& task,
+                                MonotonicTime now);
   bool HasOutlivedCrashes(const TaskName& name, const TrackedTask& task) const;
   bool IsBatchDurable(uint64_t batch) const;
   bool AllLeasesExpired(const TrackedWorker& worker, MonotonicTime now) const;
--- /dev/null
+++ b/packages/dispatch/dispatcher_counters.h
@@ -0,0 +1,29 @@
+#ifndef PACKAGES_DISPATCH_DISPATCHER_COUNTERS_H_
+#define PACKAGES_DISPATCH_DISPATCHER_COUNTERS_H_
+
+#include <cstdint>
+
+namespace bramleyrail {
+
+// What a Dispatcher has done since it was created.
+struct DispatcherCounters {
+  uint64_t starts = 0;
+  uint64_t starts_refused = 0;
+  uint64_t runs_completed = 0;
+  uint64_t runs_failed = 0;
+  uint64_t runs_interrupted = 0;
+  uint64_t runs_lost = 0;
+  uint64_t lease_renewals = 0;
+  uint64_t cpu_limit_orders = 0;
+  // How often a worker was rated for a task.
+  uint64_t worker_ratings = 0;
+  // How often a job was looked at to follow changes of the state, and a ready
+  // task or a run because a job had ended.
+  uint64_t job_visits = 0;
+  uint64_t ready_task_visits = 0;
+  uint64_t run_visits = 0;
+};
+
+}  // namespace bramleyrail
+
+#endif  // PACKAGES_DISPATCH_DISPATCHER_COUNTERS_H_
--- a/packages/dispatch/dispatcher_crashes.cc
+++ b/packages/dispatch/dispatcher_crashes.cc
@@ -17,6 +17,13 @@
 // in succession count.
 constexpr int64_t kUnansweredStartLimit = 5;
 
+// Pause before a task starts again that would be given up if each worker that
+// refuses connections had crashed under it; doubles with each further one. The
+// workers may only be cut off, so the task is not given up, and it does not
+// wait for them for ever. They may also never return, and the rules allow the
+// task to start twice more after three crashes.
+constexpr Milliseconds kSuspicionBackoff{15'000};
+
 // The name under which the crashes of the task count.
 TaskName FailureRecordName(TaskName task, const JobStep& step) {
   task.index = step.gang ? 0 : task.index;
@@ -78,7 +85,7 @@
   return crashes;
 }
 
-void Dispatcher::RecordCrash(TrackedWorker* worker) {
+void Dispatcher::RecordCrash(TrackedWorker* worker, std::string_view evidence) {
   // A worker that drains announces its end.
   if (worker->crash_recorded || worker->registration().draining) {
     return;
@@ -89,17 +96,56 @@
                  worker->possible_crashes.end());
   worker->possible_crashes.clear();
   for (const PossibleCrash& possible : crashes) {
-    CountCrash(*worker, possible);
+    CountCrash(*worker, possible, evidence);
+  }
+}
+
+void Dispatcher::SuspectCrash(TrackedWorker* worker, MonotonicTime now) {
+  if (worker->crash_suspected || worker->crash_recorded ||
+      worker->registration().draining) {
+    return;
+  }
+  worker->crash_suspected = true;
+  for (const PossibleCrash& possible : PossibleCrashes(*worker)) {
+    const TaskName& task = possible.run.task;
+    TrackedJob* job = FindJob(task.job);
+    if (!possible.is_recent || job == nullptr || !job->HasTask(task)) {
+      continue;
+    }
+    job->SuspectOfCrashes(task);
+    worker->suspected_runs.emplace_back(task, possible.run.run);
+    if (possible.has_begun) {
+      TrackedTask& record = job->FailureRecordOf(task);
+      record.suspected_runs[possible.run.run] =
+          possible.run.outcome == RunOutcome::kCrashAttributed;
+      record.last_suspicion = now;
+    }
+  }
+  if (!worker->suspected_runs.empty()) {
+    LogEvent(kCrashSuspected, {{"worker", worker->registration().id},
+                               {"runs", worker->suspected_runs.size()}});
+  }
+}
+
+void Dispatcher::WithdrawSuspicion(TrackedWorker* worker) {
+  worker->crash_suspected = false;
+  for (const auto& [task, run] : std::exchange(worker->suspected_runs, {})) {
+    TrackedJob* job = FindJob(task.job);
+    if (job != nullptr && job->HasTask(task)) {
+      job->WithdrawSuspicion(task, run);
+    }
   }
 }
 
 void Dispatcher::CountCrash(const TrackedWorker& worker,
-                            const PossibleCrash& possible) {
+                            const PossibleCrash& possible,
+                            std::string_view evidence) {
   TrackedJob* job = FindJob(possible.run.task.job);
   if (job == nullptr || !job->HasTask(possible.run.task)) {
     return;
   }
   TrackedTask& record = job->FailureRecordOf(possible.run.task);
+  record.suspected_runs.erase(possible.run.run);
   if (record.phase == TaskPhase::kDone ||
       record.crashed_runs.contains(possible.run.run)) {
     return;
@@ -108,9 +154,9 @@
   record.avoid_worker = worker.registration().id;
   if (possible.has_begun) {
     record.unanswered_runs.clear();
-    CountCrashOfRun(worker, possible.run, job, &record);
+    CountCrashOfRun(worker, possible.run, evidence, job, &record);
   } else {
-    CountUnansweredStart(worker, possible.run, job, &record);
+    CountUnansweredStart(worker, possible.run, evidence, job, &record);
   }
   // The next run of a suspected task is isolated. That costs little, so an
   // unanswered start suffices.
@@ -121,6 +167,7 @@
 
 void Dispatcher::CountUnansweredStart(const TrackedWorker& worker,
                                       const FinishedRun& unanswered,
+                                      std::string_view evidence,
                                       TrackedJob* job,
                                       TrackedTask* record) {
   if (!record->unanswered_runs.insert(unanswered.run).second) {
@@ -136,12 +183,13 @@
   for (const uint64_t run : std::exchange(record->unanswered_runs, {})) {
     FinishedRun crashed = unanswered;
     crashed.run = run;
-    CountCrashOfRun(worker, crashed, job, record);
+    CountCrashOfRun(worker, crashed, evidence, job, record);
   }
 }
 
 void Dispatcher::CountCrashOfRun(const TrackedWorker& worker,
                                  const FinishedRun& crashed,
+                                 std::string_view evidence,
                                  TrackedJob* job,
                                  TrackedTask* record) {
   record->crashed_runs.insert(crashed.run);
@@ -156,6 +204,7 @@
       {{"task", crashed.task.ToString()},
        {"run", crashed.run},
        {"worker", worker.registration().id},
+       {"evidence", evidence},
        {"crashes", crashes.all},
        {"attributed", crashes.attributed},
        {"given_up", IsCrashLimitReached(job->step(crashed.task), crashes)}});
@@ -188,12 +237,35 @@
          worker->second->last_response - run->started >= kCrashAttributionTime;
 }
 
+bool Dispatcher::IsHeldBySuspicion(TrackedJob* job,
+                                   const TaskName& task,
+                                   MonotonicTime now) {
+  const TrackedTask& record = job->FailureRecordOf(task);
+  if (record.suspected_runs.empty()) {
+    return false;
+  }
+  const auto suspected = std::ssize(record.suspected_runs);
+  CrashCount crashes{std::ssize(record.crashed_runs) + suspected,
+                     record.attributed_crashes};
+  for (const auto& [run, attributed] : record.suspected_runs) {
+    crashes.attributed += attributed ? 1 : 0;
+  }
+  if (!IsCrashLimitReached(job->step(task), crashes)) {
+    return false;
+  }
+  const int64_t shift = std::clamp<int64_t>(suspected - 2, 0, 10);
+  return now - record.last_suspicion <
+         kSuspicionBackoff * (int64_t{1} << shift);
+}
+
 bool Dispatcher::IsHeldAfterCrash(TrackedJob* job,
                                   const TaskName& task,
-                                  TrackedStep* step) const {
+                                  TrackedStep* step,
+                                  MonotonicTime now) const {
   // A leader that ends must not have started the task without a record of its
   // crash. Once the crashes at the limit are durable, the job is closed.
-  if (!IsBatchDurable(job->FailureRecordOf(task).crash_batch)) {
+  if (!IsBatchDurable(job->FailureRecordOf(task).crash_batch) ||
+      IsHeldBySuspicion(job, task, now)) {
     return true;
   }
   if (!step->crash_suspect || *step->crash_suspect == task.index) {
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -108,7 +108,7 @@
         now < tracked_task.not_before) {
       continue;
     }
-    if (IsHeldAfterCrash(job, task, &step)) {
+    if (IsHeldAfterCrash(job, task, &step, now)) {
       held_after_crash = true;
       continue;
     }
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -51,7 +51,7 @@
     return;
   }
   if (outcome == OrderOutcome::kWrongWorker) {
-    RecordCrash(worker);
+    RecordCrash(worker, "another worker responds at its address");
     RequeueLostRuns(worker, "the worker has ended", now);
     worker->avoid_until = now + kUnhealthyPause;
     return;
@@ -163,7 +163,7 @@
     worker->next_renewal = now;
     due_workers_.push_back(address.id);
   } else if (outcome == OrderOutcome::kWrongWorker) {
-    RecordCrash(worker);
+    RecordCrash(worker, "another worker responds at its address");
     RequeueLostRuns(worker, "the worker has ended", now);
   }
 }
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -24,9 +24,10 @@
 constexpr Milliseconds kFailedRenewalPause{200};
 // Pause between lease renewals while finished runs are not durable yet.
 constexpr Milliseconds kRenewalIntervalWithoutDurability{1'000};
-// A worker that refuses connections after this many failed renewals has no
-// process any more.
-constexpr int kRefusedRenewalsOfEndedWorker = 2;
+// A worker that refuses connections after this many failed renewals may have no
+// process any more. It may also be cut off by a device that resets connections,
+// and only a process that takes its place shows which.
+constexpr int kRefusedRenewalsOfSuspectedEnd = 2;
 // Orders are not retried when the last response of the worker is older.
 constexpr Milliseconds kMaximumResponseAgeForRetry{2'500};
 // Maximum wait of a lease renewal while a run exceeds its target latency.
@@ -372,19 +373,19 @@
     if (outcome == OrderOutcome::kWrongWorker ||
         (outcome == OrderOutcome::kConnectionRefused && worker->deregistered)) {
       if (outcome == OrderOutcome::kWrongWorker) {
-        RecordCrash(worker);
+        RecordCrash(worker, "another worker responds at its address");
       }
       RequeueLostRuns(worker, "the worker has ended", now);
       worker->contacted = true;
       worker->avoid_until = now + kAvoidanceTime;
     } else if (outcome == OrderOutcome::kConnectionRefused &&
-               worker->failed_renewals >= kRefusedRenewalsOfEndedWorker) {
+               worker->failed_renewals >= kRefusedRenewalsOfSuspectedEnd) {
       // Its runs stay until the lease has expired or a later incarnation
       // registers, but no other task of their steps may crash a worker in the
       // meantime.
-      RecordCrash(worker);
+      SuspectCrash(worker, now);
     } else if (outcome == OrderOutcome::kRestarted) {
-      RecordCrash(worker);
+      RecordCrash(worker, "a later incarnation responds");
       RequeueRunsOfEndedIncarnation(worker, now);
     }
     if (worker->failed_renewals == 1) {
@@ -407,6 +408,7 @@
   worker->expiry_check.reset();
   worker->possible_crashes.clear();
   worker->crash_recorded = false;
+  WithdrawSuspicion(worker);
   worker->ObserveClock(response.clock_ms, now);
   for (const ReportedFinishedRun& reported : response.finished) {
     HandleFinishedRun(worker, reported, now);
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -61,6 +61,7 @@
     kResponses,       // The orders are executed.
     kStarts,          // All other orders are executed and confirmed.
     kStartResponses,  // The same, and the starts are executed, too.
+    kReset,           // Connections to the worker are reset or refused.
   };
 
   explicit FakePool(Options options);
--- a/packages/dispatch/tests/one_worker_fixture.h
+++ b/packages/dispatch/tests/one_worker_fixture.h
@@ -128,6 +128,11 @@
                                             response, now_, now_);
   }
 
+  void RefuseRenewal() {
+    dispatcher_->HandleLeaseRenewalResponse(
+        Address(), OrderOutcome::kConnectionRefused, {}, now_, now_);
+  }
+
   void FailRenewal() {
     dispatcher_->HandleLeaseRenewalResponse(Address(), OrderOutcome::kUnknown,
                                             {}, now_, now_);
--- a/packages/dispatch/tests/worker_crash_test.cc
+++ b/packages/dispatch/tests/worker_crash_test.cc
@@ -71,6 +71,81 @@
   CheckNoViolation(pool);
 }
 
+// LOST: jobs were given up after a series of cuts in which the connections of
+// workers were reset, although no worker had crashed.
+TEST(WorkerCrash, CutsWithResetsDoNotCountAsCrashes) {
+  CHECK(rc::check("cuts", [] {
+    FakePool pool({.workers = 6,
+                   .seed = *rc::gen::arbitrary<uint64_t>(),
+                   .lose_order = 0.02,
+                   .task_time = Milliseconds(2'500)});
+    JobSpecification serving = FakePool::Job(3, 1);
+    serving.steps[0].long_running = true;
+    pool.Submit("serving", serving);
+    const auto cuts =
+        *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(500, 9'000));
+    for (size_t i = 0; i < cuts.size(); ++i) {
+      pool.Submit(absl::StrCat("job", i), FakePool::Job(3, 2));
+      pool.RunFor(Milliseconds(500));
+      const int worker = static_cast<int>(i) % 6;
+      pool.SetCut(worker, FakePool::Cut::kReset);
+      pool.RunFor(Milliseconds(cuts[i]));
+      pool.SetCut(worker, FakePool::Cut::kNone);
+    }
+    for (size_t i = 0; i < cuts.size(); ++i) {
+      RC_ASSERT(Completes(&pool, absl::StrCat("job", i)));
+    }
+    RC_ASSERT(pool.Outcome("serving") == JobOutcome::kOpen);
+    RC_ASSERT(pool.crashes() == 0);
+    RC_ASSERT(pool.violation() == "");
+  }));
+}
+
+// LOST: the same for a job whose only task is cut off twice after its start.
+TEST(WorkerCrash, JobSurvivesTwoCutsWithResetsUnderItsTask) {
+  FakePool pool({.workers = 4, .task_time = Milliseconds(20'000)});
+  pool.Submit("job", FakePool::Job(1, 1));
+  for (int cut = 0; cut < 2; ++cut) {
+    CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 1; }, kLongEnough));
+    pool.RunFor(Milliseconds(1'000));
+    const int worker = pool.WorkerOf({"job", 0, 0, 0});
+    pool.SetCut(worker, FakePool::Cut::kReset);
+    pool.RunFor(Milliseconds(6'000));
+    pool.SetCut(worker, FakePool::Cut::kNone);
+  }
+  CHECK(Completes(&pool, "job"));
+  CheckNoViolation(pool);
+}
+
+// BUDGET: workers that never return show no crash. Fails when a task that ends
+// one worker after another for good goes on through the pool.
+TEST(WorkerCrash, TaskThatEndsItsWorkersForGoodStartsSeldom) {
+  FakePool pool({.workers = 20});
+  pool.CrashWorkersOf("crashing", Milliseconds(600'000));
+  pool.Submit("crashing", FakePool::Job(1, 1));
+  pool.RunFor(Milliseconds(200'000));
+  CHECK(pool.crashes() >= 2);
+  CHECK(pool.crashes() <= 5);
+  CheckNoViolation(pool);
+}
+
+// LOST: fails when a task whose workers are cut off for long waits for them
+// without a bound.
+TEST(WorkerCrash, TaskOfWorkersThatStayCutOffStartsAgain) {
+  FakePool pool({.workers = 4, .task_time = Milliseconds(20'000)});
+  pool.Submit("job", FakePool::Job(1, 1));
+  for (int cut = 0; cut < 2; ++cut) {
+    CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 1; }, kLongEnough));
+    pool.RunFor(Milliseconds(1'000));
+    pool.SetCut(pool.WorkerOf({"job", 0, 0, 0}), FakePool::Cut::kReset);
+    pool.RunFor(Milliseconds(6'000));
+  }
+  CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 1; },
+                      Milliseconds(20'000)));
+  CHECK(Completes(&pool, "job"));
+  CheckNoViolation(pool);
+}
+
 // Fails when the crashes are forgotten with the leader that learnt of them.
 TEST(WorkerCrash, CrashesSurviveAChangeOfTheLeader) {
   FakePool pool({.workers = 8});
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -126,6 +126,20 @@
   }
 }
 
+void TrackedJob::WithdrawSuspicion(const TaskName& name, uint64_t run) {
+  TrackedTask& record = FailureRecordOf(name);
+  record.suspected_runs.erase(run);
+  if (!record.crashed_runs.empty() || !record.unanswered_runs.empty() ||
+      !record.suspected_runs.empty()) {
+    return;
+  }
+  record.crash_suspected = false;
+  TrackedStep& tracked_step = occurrences_[name.occurrence].steps[name.step];
+  if (tracked_step.crash_suspect == name.index) {
+    tracked_step.crash_suspect.reset();
+  }
+}
+
 std::vector<TaskName> TrackedJob::Release(int64_t unix_ms) {
   std::vector<TaskName> ready;
   for (size_t number = 0; number < occurrences_.size(); ++number) {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -2,6 +2,7 @@
 #define PACKAGES_DISPATCH_TRACKED_JOB_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -34,6 +35,10 @@
   // Numbers of the runs whose worker ended without a sign that the run had
   // begun, since a run of the task was last known to begin.
   std::set<uint64_t> unanswered_runs;
+  // Runs whose worker has refused connections ever since, by number, and
+  // whether an end of its process would be attributed to the run.
+  std::map<uint64_t, bool> suspected_runs;
+  MonotonicTime last_suspicion;  // When the last of them was added.
   // A recent run may have crashed its worker, so the next one is isolated.
   bool crash_suspected = false;
   // The batch of finished runs with the last crash; 0: none.
@@ -106,6 +111,9 @@
   // Isolates the next run of the task. The task of the step with the most
   // crashes is started before the others.
   void SuspectOfCrashes(const TaskName& task);
+  // The worker of this run has responded again. Ends the isolation unless a
+  // worker has crashed under the task, or may have.
+  void WithdrawSuspicion(const TaskName& task, uint64_t run);
 
   // Releases the occurrences that are due and returns the tasks that become
   // ready.
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -218,6 +218,9 @@
   // that were lost since the last response.
   std::vector<PossibleCrash> possible_crashes;
   bool crash_recorded = false;
+  // The worker refuses connections, and these runs are suspected for that.
+  bool crash_suspected = false;
+  std::vector<RunKey> suspected_runs;
 
  private:
   void UpdateReserved(const TrackedRun& run, int64_t sign);
