HTTP: Send each call at most once

Cause: the HTTP client sent a call again by itself when a kept connection ended without a byte of a response. A worker that had crashed and started again under its id received the second copy of an order that its earlier incarnation had executed. The leader counts the orders that it has sent, and concludes from one order and one list that a start cannot run again; it knew nothing of the second copy. With a lease renewal, the later incarnation took an acknowledgement for its own and forgot ends that the leader had never received.

Change: a call is written once. When its connection ends after that, the outcome is unknown to the dispatcher, which repeats the order itself and remembers that it did. A kept connection is looked at before it is used: one that the server has closed while it was idle is replaced, so that a call that nobody repeats survives such a server. A close that is still on its way costs a start 100 ms.

HttpResponse::sent_twice is gone, as no response is to a second copy. The dispatcher is the only one that repeats an order now, so CrashEvidence.RejectionOfASecondStartLeavesTheFirstOneOpen requires the same of it, for each rejection.

--- a/packages/dispatch/tests/crash_evidence_test.cc
+++ b/packages/dispatch/tests/crash_evidence_test.cc
@@ -119,6 +119,32 @@
   CHECK(TakeCrashes().empty());
 }
 
+// TWICE, BUDGET: the outcome of a start is unknown, and the second one, of the
+// same run, is rejected. Fails when that counts for the first one, too, which
+// may have been executed, so that the task starts again before a stop.
+TEST(CrashEvidence, RejectionOfASecondStartLeavesTheFirstOneOpen) {
+  int attempt = 0;
+  for (const OrderOutcome rejection :
+       {OrderOutcome::kNoRoom, OrderOutcome::kLeaseTooOld,
+        OrderOutcome::kUnhealthy, OrderOutcome::kInvalid,
+        OrderOutcome::kNoTicket, OrderOutcome::kNotSent,
+        OrderOutcome::kConnectionRefused}) {
+    SubmitTaskThatFillsTheWorker(absl::StrCat("job", ++attempt));
+    const RunKey run = NextStart();
+    Respond(run, OrderOutcome::kUnknown);
+    const auto second = Step<StartOrder>(Milliseconds(110));
+    LONGS_EQUAL(1, second.size());
+    CHECK(second.front().run == run.second);
+    Respond(run, rejection);
+    CHECK(Step<StartOrder>(Milliseconds(10)).empty());
+    CHECK(Step<StartOrder>(Milliseconds(1'200)).empty());
+    dispatcher_->HandleStopResponse(Address(), run.first, run.second,
+                                    OrderOutcome::kAccepted, now_);
+    RespondFrom(Address());
+    Apply(CancelQueuedJob{absl::StrCat("job", attempt)});
+  }
+}
+
 // Fails when a run that the worker calls too old counts as never begun: an
 // earlier start order, whose confirmation was lost, has been executed.
 TEST(CrashEvidence, RunThatIsTooOldHasBegun) {
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -1,6 +1,7 @@
 #include "packages/http/async_http_client.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/error.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -79,9 +81,17 @@
     return poll(&descriptor, 1, 0) > 0;
   }
 
-  // Whether the server has sent more than the response to the last call. A look
-  // at the socket would show more, but is a system call for each order.
-  bool HasUnexpectedInput() const { return buffer.size() > 0; }
+  // Whether a request may be written to this connection, which has been idle:
+  // the server has not closed it, and has sent nothing after the response to
+  // the last call, as far as this side has received it. A request that is
+  // written to a closed connection has an unknown outcome.
+  bool IsReusable() {
+    char next = 0;
+    const ssize_t count = recv(socket.native_handle(), &next, sizeof next,
+                               MSG_PEEK | MSG_DONTWAIT);
+    return buffer.size() == 0 && count < 0 &&
+           (errno == EAGAIN || errno == EINTR);
+  }
 
   // Read and written without waiting, never by operations of the loop: those
   // could hold a part of a response when the deadline is looked at.
@@ -114,8 +124,7 @@
   Callback callback;
   HttpConnectionPool::Number number = 0;
   std::shared_ptr<Connection> connection;
-  int times_sent = 0;
-  // When the call was made, got a connection, and was last written to it.
+  // When the call was made, got a connection, and was written to it.
   MonotonicTime created = BootTimeNow();
   std::optional<MonotonicTime> began;
   std::optional<MonotonicTime> written;
@@ -178,11 +187,11 @@
     Connect(call);
   } else {
     call->connection = connections_.at(call->number);
-    if (call->connection->HasUnexpectedInput()) {
+    if (call->connection->IsReusable()) {
+      Exchange(call);
+    } else {
       call->connection->Close();
       Connect(call);
-    } else {
-      Exchange(call);
     }
   }
   return true;
@@ -292,7 +301,6 @@
                  })] { finish({}); });
     return;
   }
-  ++call->times_sent;
   call->written = BootTimeNow();
   Connection& connection = *call->connection;
   connection.request = EncodeRequest(call->address, call->request);
@@ -397,19 +405,12 @@
     HttpResponse response;
     response.status = message.result_int();
     response.body = std::move(message.body());
-    response.sent_twice = call->times_sent > 1;
     Finish(call, message.keep_alive(), std::move(response));
     return;
   }
-  // A server closes an idle connection at any time, mostly without having read
-  // the request.
-  const bool stale = connection.used_before && error != beast::error::timeout &&
-                     !connection.parser->got_some();
-  if (stale) {
-    connection.Close();
-    Connect(call);
-    return;
-  }
+  // The server may have executed the request before the connection ended, and
+  // another process may listen at the address by now. Only the caller knows
+  // whether the request may be sent again.
   Finish(call, /*reusable=*/false,
          CallError(*call, ErrorKind::kOutcomeUnknown, error.message()));
 }
@@ -443,14 +444,11 @@
 Error AsyncHttpClient::CallError(const PendingCall& call,
                                  ErrorKind kind,
                                  std::string_view reason) {
-  // An earlier copy of the request may have been executed.
-  const ErrorKind known =
-      call.times_sent > 0 ? ErrorKind::kOutcomeUnknown : kind;
   return MakeError(
-      known,
+      kind,
       absl::StrCat("call to ", call.address, ": ",
                    absl::string_view(reason.data(), reason.size())),
-      known != ErrorKind::kOutcomeUnknown
+      kind != ErrorKind::kOutcomeUnknown
           ? "check that the server is running"
           : "look up the outcome before repeating the call");
 }
@@ -476,7 +474,6 @@
        {"response_ms", MillisecondsBetween(written, now)},
        {"late_ms", MillisecondsBetween(call.deadline, now)},
        {"reused", call.connection != nullptr && call.connection->used_before},
-       {"times_sent", call.times_sent},
        {"suppressed", failure_lines_.TakeSuppressed()},
        {"error", error.ToString()}});
 }
--- a/packages/http/async_http_client.h
+++ b/packages/http/async_http_client.h
@@ -48,9 +48,9 @@
   // inside Call(), after `timeout` or when the loop comes to it: a response
   // that has arrived by then counts. kUnavailable when the request was not
   // sent, kNotFound when moreover the connection was refused, kOutcomeUnknown
-  // when it may have been executed. A call may be sent twice when a kept
-  // connection turns out to be closed, so it must be idempotent;
-  // HttpResponse::sent_twice tells.
+  // when it may have been executed. A request is written at most once: when its
+  // connection ends without a response, the caller decides what to do. A kept
+  // connection that is known to be closed is replaced before that.
   void Call(const std::string& address,
             HttpRequest request,
             Milliseconds timeout,
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -31,9 +31,6 @@
   HttpHeaders headers;  // Besides length, type and connection.
   std::string body;     // JSON, unless `content_type` says otherwise.
   std::string content_type = "application/json";
-  // For the caller: a copy of the request that was sent before may have been
-  // executed, and this is the response to a second one.
-  bool sent_twice = false;
 };
 
 using HttpResponder = std::function<void(HttpResponse)>;
