HTTP, Platform: Acknowledge ends only on known connections

What callers saw: nothing yet; a test did.

Cause: an order names only the id of the worker. When a worker ends and starts again between two renewals, the next one goes over a new connection to the later incarnation, whose numbers of ends start anew. With the single copy of each call this is the way that is left: the first copy of a renewal.

Change: an acknowledgement goes only over a connection that has carried a response, so that its process is the one that has listed these ends. The first renewal of a connection carries none; the worker lists the ends once more. HttpRequest::body_on_new_connection says what to send then.

--- a/packages/control/relayed_message.cc
+++ b/packages/control/relayed_message.cc
@@ -53,11 +53,10 @@
 }
 
 HttpRequest FromRelayed(RelayedRequest request) {
-  HttpRequest received{std::move(request.method),
-                       std::move(request.target),
-                       {{"Host", std::move(request.host)}},
-                       std::move(request.body),
-                       nullptr};
+  HttpRequest received{.method = std::move(request.method),
+                       .target = std::move(request.target),
+                       .headers = {{"Host", std::move(request.host)}},
+                       .body = std::move(request.body)};
   SetOrderRevision(request.order_revision, &received);
   return received;
 }
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -38,19 +38,24 @@
 }
 
 http::request<http::string_body> EncodeRequest(const std::string& address,
-                                               const HttpRequest& request) {
+                                               const HttpRequest& request,
+                                               bool is_new_connection) {
+  const bool replaces_body =
+      is_new_connection && request.body_on_new_connection.has_value();
+  const std::string& body =
+      replaces_body ? *request.body_on_new_connection : request.body;
   http::request<http::string_body> message;
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
   message.set(http::field::host, address);
-  if (!request.body.empty()) {
+  if (!body.empty()) {
     message.set(http::field::content_type, "application/json");
   }
   for (const auto& [name, value] : request.headers) {
     message.set(name, value);
   }
-  message.body() = request.body;
+  message.body() = body;
   message.prepare_payload();
   return message;
 }
@@ -303,7 +308,8 @@
   }
   call->written = BootTimeNow();
   Connection& connection = *call->connection;
-  connection.request = EncodeRequest(call->address, call->request);
+  connection.request =
+      EncodeRequest(call->address, call->request, !connection.used_before);
   connection.serializer.emplace(connection.request);
   connection.parser.emplace();
   connection.parser->body_limit(kMaximumResponseBytes);
