Dispatch: Let withdrawn workers that refuse connections work on

What callers saw: nothing yet; a test did. A worker that has sent its withdrawal and got no acknowledgement works on for some seconds. When it is cut off by resets in that time, its task started elsewhere beside it (TWICE).

Change: the runs of such a worker wait for its leases, as those of a silent one do. Another worker at the address still shows the end at once.

Evidence: Takeover.WithdrawnWorkerThatRefusesConnectionsMayGoOnWorking fails before ("job.0.0.0 runs twice at the same time"), with and without a takeover, and passes with the change.

Takeover.WithdrawnWorkerThatRunsNothingIsForgotten expected that the tasks of a withdrawn worker start within 1.5 s of a takeover because its connections are refused, which is the fault. It now requires that the worker is forgotten within its lease and the margins, and that a worker without runs never holds a task.

--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -370,11 +370,8 @@
   }
   if (outcome != OrderOutcome::kAccepted) {
     RecordFailedRenewal(worker, outcome, sent, now);
-    if (outcome == OrderOutcome::kWrongWorker ||
-        (outcome == OrderOutcome::kConnectionRefused && worker->deregistered)) {
-      if (outcome == OrderOutcome::kWrongWorker) {
-        RecordCrash(worker, "another worker responds at its address");
-      }
+    if (outcome == OrderOutcome::kWrongWorker) {
+      RecordCrash(worker, "another worker responds at its address");
       RequeueLostRuns(worker, "the worker has ended", now);
       worker->contacted = true;
       worker->avoid_until = now + kAvoidanceTime;
--- a/packages/dispatch/tests/takeover_test.cc
+++ b/packages/dispatch/tests/takeover_test.cc
@@ -111,6 +111,30 @@
   RunsWithin(&pool, kTasks, Milliseconds(0));
 }
 
+// TWICE: a worker whose withdrawal was not acknowledged goes on working. Fails
+// when it counts as ended because it is cut off by resets.
+TEST(Takeover, WithdrawnWorkerThatRefusesConnectionsMayGoOnWorking) {
+  for (const bool changes_leader : {false, true}) {
+    FakePool pool({.workers = 3, .task_time = Milliseconds(20'000)});
+    pool.Submit("job", FakePool::Job(1, 1));
+    CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 1; },
+                        Milliseconds(5'000)));
+    pool.RunFor(Milliseconds(2'000));
+    const int worker = pool.WorkerOf({"job", 0, 0, 0});
+    pool.SetDraining(worker);
+    pool.Apply(RemoveWorker{absl::StrCat("w", worker), 0});
+    pool.SetCut(worker, FakePool::Cut::kReset);
+    if (changes_leader) {
+      pool.ChangeLeader();
+    }
+    const bool ended = pool.RunUntil(
+        [&] { return pool.Outcome("job") == JobOutcome::kCompleted; },
+        Milliseconds(60'000));
+    CHECK_TRUE_TEXT(pool.violation().empty(), pool.violation().c_str());
+    CHECK(ended);
+  }
+}
+
 // TWICE: an executor that had sent its withdrawal and got no acknowledgement
 // went on working, and the next leader started its task elsewhere. Fails when a
 // new leader takes a worker for gone whose lease may not have expired.
@@ -149,8 +173,9 @@
   }
 }
 
-// Fails when a worker that was withdrawn without runs, or whose process is
-// known to have ended, holds tasks at the next takeover.
+// Fails when a worker that was withdrawn without runs holds tasks at the next
+// takeover, or one with runs whose process has ended holds them for longer than
+// its lease: that its connections are refused does not show the end.
 TEST(Takeover, WithdrawnWorkerThatRunsNothingIsForgotten) {
   FakePool pool({.workers = 5});
   pool.RunFor(Milliseconds(1'000));
@@ -163,9 +188,10 @@
   pool.Remove(1);
   pool.Apply(RemoveWorker{"w1", 0});
   pool.ChangeLeader();
+  pool.RunFor(kLeaseAndMargins);
+  CHECK(pool.state().withdrawn_workers().empty());
   pool.RunFor(Milliseconds(1'500));
   CHECK(pool.Outcome("job") == JobOutcome::kCompleted);
-  CHECK(pool.state().withdrawn_workers().empty());
 }
 
 // The same with any series of withdrawals, returns, crashes, cut-off workers
