Dispatch, Queue: Record which runs may have crashed their worker

What callers saw: nothing yet; a test did. Since refused connections count as no crash, a leader that is lost before the worker is back took the suspicion with it, and its successor did not count the crash. A task that crashes its workers could start without an end when the leaders changed often (BUDGET).

Cause: the successor knows no runs of ordinary tasks of an earlier incarnation, and the window grew from 0.4 s to the time that a worker needs to start again.

Change: the leader records suspected runs with the incarnation of their worker (RecordSuspectedRuns), within 0.2 s and in one command for all workers, and clears the record when the worker responds or the crash is counted. A successor takes the suspicions over, counts those whose worker has registered again since, and drops those of workers that respond.

Evidence: without the part that a successor takes over, WorkerCrash.SuccessorCountsACrashThatWasOnlySuspected fails; with it, it passes, as does SuccessorDropsASuspicionOfAWorkerThatResponds, which guards against the opposite.

--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -24,6 +24,9 @@
 // Pause between two commands that forget withdrawn workers. A leader that takes
 // over before then waits for them.
 constexpr Milliseconds kForgetInterval{200};
+// Pause between two commands that record suspected runs. A leader that takes
+// over before then does not know of them.
+constexpr Milliseconds kSuspicionInterval{200};
 constexpr Milliseconds kLoadReportInterval{1'000};
 
 }  // namespace
@@ -124,6 +127,7 @@
   ProposePlacements();
   PurgeOldJobs(now);
   ForgetWithdrawnWorkers(now);
+  RecordSuspicions(now);
   const MonotonicTime sent = options_.clock();
   load_.AddStep({.synchronize = synchronized - now,
                  .decide = decided - synchronized,
@@ -372,6 +376,24 @@
       [](const Result<QueueOutcome>&) {});
 }
 
+void DispatchLoop::RecordSuspicions(MonotonicTime now) {
+  if (now < next_suspicion_record_) {
+    return;
+  }
+  std::vector<SuspectedRuns> changes =
+      queue_->Read([this](const QueueState& state) {
+        return dispatcher_->SuspicionChanges(state);
+      });
+  if (changes.empty()) {
+    return;
+  }
+  next_suspicion_record_ = now + kSuspicionInterval;
+  // If the proposal fails, a later step proposes it again.
+  queue_->Propose(
+      RecordSuspectedRuns{dispatcher_->leader_epoch(), std::move(changes)},
+      [](const Result<QueueOutcome>&) {});
+}
+
 void DispatchLoop::ObserveClock(const std::string& worker,
                                 int64_t started_unix_ms,
                                 int64_t clock_ms) {
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -86,6 +86,7 @@
       const Result<QueueOutcome>& outcome);
   void PurgeOldJobs(MonotonicTime now);
   void ForgetWithdrawnWorkers(MonotonicTime now);
+  void RecordSuspicions(MonotonicTime now);
   void ReportLoad(MonotonicTime now);
 
   IoLoop* const loop_;
@@ -100,6 +101,7 @@
   std::atomic<bool> wake_posted_ = false;
   MonotonicTime last_purge_;
   MonotonicTime next_forget_;
+  MonotonicTime next_suspicion_record_;
   MonotonicTime next_tick_;
   MonotonicTime step_due_;
   // Since the timer of the next step was set.
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -74,6 +74,7 @@
   }
   if (!synchronized_) {
     synchronized_ = true;
+    RestoreSuspicions(state, now);
     LogEvent(kLeadershipStarted, {{"leadership", leader_epoch_},
                                   {"workers", workers_.size()},
                                   {"open_jobs", jobs_.size()}});
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "packages/dispatch/cpu_limit_policy.h"
+#include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
 #include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/latency_interference_model.h"
@@ -44,20 +45,8 @@
     Milliseconds renewal_wait{1'000};
   };
 
-  // Finished runs that must become durable before they are acknowledged to the
-  // workers.
-  struct FinishedRunBatch {
-    uint64_t number = 0;
-    std::vector<FinishedRun> finished_runs;
-  };
-
-  // Long-running runs that must be recorded before the workers are ordered to
-  // start them, and such runs that have ended without a report.
-  struct PlacementBatch {
-    uint64_t number = 0;
-    RecordPlacements command;
-  };
-
+  using FinishedRunBatch = DispatchedFinishedRuns;
+  using PlacementBatch = DispatchedPlacements;
   using Counters = DispatcherCounters;
 
   Dispatcher(Options options, int64_t leader_epoch, MonotonicTime now);
@@ -112,6 +101,10 @@
   std::vector<WorkerIncarnation> EndedWithdrawals(
       const QueueState& state) const;
 
+  // What of the suspected runs is to be recorded, so that a later leader counts
+  // their crashes.
+  std::vector<SuspectedRuns> SuspicionChanges(const QueueState& state) const;
+
   // Whether a task of the job is known to have started.
   bool HasStarted(std::string_view job) const;
   // Open jobs of the queue without such a task.
@@ -320,6 +313,12 @@
   // The worker's process may have ended, or the worker may only be cut off.
   // Isolates the runs that may have caused an end, and counts nothing.
   void SuspectCrash(TrackedWorker* worker, MonotonicTime now);
+  void Suspect(const PossibleCrash& possible,
+               TrackedWorker* worker,
+               MonotonicTime now);
+  // Takes over what earlier leaders suspected, and counts the crashes that have
+  // become known since.
+  void RestoreSuspicions(const QueueState& state, MonotonicTime now);
   // The worker has responded, so its process has not ended.
   void WithdrawSuspicion(TrackedWorker* worker);
   void CountCrash(const TrackedWorker& worker,
@@ -443,6 +442,8 @@
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
   TrackedWorkers workers_;
+  std::set<std::string>
+      suspected_workers_;  // Ids, of workers that may be gone.
   // Ids of workers that may be due for an order before the next sweep.
   std::vector<std::string> due_workers_;
   MonotonicTime next_worker_sweep_;
--- a/packages/dispatch/dispatcher_crashes.cc
+++ b/packages/dispatch/dispatcher_crashes.cc
@@ -95,6 +95,7 @@
   crashes.insert(crashes.end(), worker->possible_crashes.begin(),
                  worker->possible_crashes.end());
   worker->possible_crashes.clear();
+  worker->suspected_runs.clear();
   for (const PossibleCrash& possible : crashes) {
     CountCrash(*worker, possible, evidence);
   }
@@ -107,19 +108,7 @@
   }
   worker->crash_suspected = true;
   for (const PossibleCrash& possible : PossibleCrashes(*worker)) {
-    const TaskName& task = possible.run.task;
-    TrackedJob* job = FindJob(task.job);
-    if (!possible.is_recent || job == nullptr || !job->HasTask(task)) {
-      continue;
-    }
-    job->SuspectOfCrashes(task);
-    worker->suspected_runs.emplace_back(task, possible.run.run);
-    if (possible.has_begun) {
-      TrackedTask& record = job->FailureRecordOf(task);
-      record.suspected_runs[possible.run.run] =
-          possible.run.outcome == RunOutcome::kCrashAttributed;
-      record.last_suspicion = now;
-    }
+    Suspect(possible, worker, now);
   }
   if (!worker->suspected_runs.empty()) {
     LogEvent(kCrashSuspected, {{"worker", worker->registration().id},
@@ -127,12 +116,34 @@
   }
 }
 
+void Dispatcher::Suspect(const PossibleCrash& possible,
+                         TrackedWorker* worker,
+                         MonotonicTime now) {
+  const TaskName& task = possible.run.task;
+  TrackedJob* job = FindJob(task.job);
+  if (!possible.is_recent || job == nullptr || !job->HasTask(task)) {
+    return;
+  }
+  job->SuspectOfCrashes(task);
+  worker->suspected_runs.push_back(possible);
+  suspected_workers_.insert(worker->registration().id);
+  if (possible.has_begun) {
+    TrackedTask& record = job->FailureRecordOf(task);
+    record.suspected_runs[possible.run.run] =
+        possible.run.outcome == RunOutcome::kCrashAttributed;
+    record.last_suspicion = now;
+  }
+}
+
 void Dispatcher::WithdrawSuspicion(TrackedWorker* worker) {
   worker->crash_suspected = false;
-  for (const auto& [task, run] : std::exchange(worker->suspected_runs, {})) {
-    TrackedJob* job = FindJob(task.job);
-    if (job != nullptr && job->HasTask(task)) {
-      job->WithdrawSuspicion(task, run);
+  suspected_workers_.erase(worker->registration().id);
+  for (const PossibleCrash& possible :
+       std::exchange(worker->suspected_runs, {})) {
+    const FinishedRun& run = possible.run;
+    TrackedJob* job = FindJob(run.task.job);
+    if (job != nullptr && job->HasTask(run.task)) {
+      job->WithdrawSuspicion(run.task, run.run);
     }
   }
 }
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -85,6 +85,60 @@
   return ended;
 }
 
+void Dispatcher::RestoreSuspicions(const QueueState& state, MonotonicTime now) {
+  for (const auto& [id, suspected] : state.suspected_runs()) {
+    const auto found = workers_.find(id);
+    if (found == workers_.end()) {
+      continue;
+    }
+    TrackedWorker* worker = found->second.get();
+    const bool is_back = worker->registration().started_unix_ms !=
+                         suspected.worker.started_unix_ms;
+    worker->crash_suspected = !is_back;
+    for (const FinishedRun& run : suspected.runs) {
+      const PossibleCrash possible{run, /*is_recent=*/true, /*has_begun=*/true};
+      if (is_back) {
+        CountCrash(*worker, possible, "a later incarnation registered");
+      } else {
+        Suspect(possible, worker, now);
+        worker->possible_crashes.push_back(possible);
+      }
+    }
+  }
+}
+
+std::vector<SuspectedRuns> Dispatcher::SuspicionChanges(
+    const QueueState& state) const {
+  std::set<std::string> ids = suspected_workers_;
+  for (const auto& [id, recorded] : state.suspected_runs()) {
+    ids.insert(id);
+  }
+  std::vector<SuspectedRuns> changes;
+  for (const std::string& id : ids) {
+    SuspectedRuns suspected{.worker = {.id = id}};
+    if (const auto found = workers_.find(id); found != workers_.end()) {
+      suspected.worker.started_unix_ms =
+          found->second->registration().started_unix_ms;
+      for (const PossibleCrash& possible : found->second->suspected_runs) {
+        if (possible.has_begun) {
+          suspected.runs.push_back(possible.run);
+        }
+      }
+    }
+    const auto recorded = state.suspected_runs().find(id);
+    const bool is_recorded = recorded != state.suspected_runs().end();
+    const bool changed =
+        suspected.runs.empty()
+            ? is_recorded
+            : !is_recorded || recorded->second.worker != suspected.worker ||
+                  recorded->second.runs.size() != suspected.runs.size();
+    if (changed) {
+      changes.push_back(std::move(suspected));
+    }
+  }
+  return changes;
+}
+
 void Dispatcher::CheckEarlierRuns(MonotonicTime now) {
   if (all_workers_contacted_) {
     return;
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -65,7 +65,9 @@
 void Dispatcher::StepWorker(TrackedWorker* worker, MonotonicTime now) {
   if (HasLostRuns(worker, now)) {
     // Whether the worker has crashed is known only once it is back.
-    worker->possible_crashes = PossibleCrashes(*worker);
+    const std::vector<PossibleCrash> possible = PossibleCrashes(*worker);
+    worker->possible_crashes.insert(worker->possible_crashes.end(),
+                                    possible.begin(), possible.end());
     RequeueLostRuns(
         worker, "the lease expired without a response from the worker", now);
   }
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -150,6 +150,9 @@
     state_.Apply({kStartUnixMs, ForgetWithdrawnWorkers{
                                     dispatcher_->leader_epoch(),
                                     dispatcher_->EndedWithdrawals(state_)}});
+    state_.Apply({kStartUnixMs,
+                  RecordSuspectedRuns{dispatcher_->leader_epoch(),
+                                      dispatcher_->SuspicionChanges(state_)}});
   }
   CheckInvariants();
 }
--- a/packages/dispatch/tests/worker_crash_test.cc
+++ b/packages/dispatch/tests/worker_crash_test.cc
@@ -117,6 +117,59 @@
   CheckNoViolation(pool);
 }
 
+// BUDGET: a leader that refused connections had made suspicious is lost before
+// the worker is back. Fails when its successor does not count the crash,
+// whether it takes over before the worker registers again or after.
+TEST(WorkerCrash, SuccessorCountsACrashThatWasOnlySuspected) {
+  for (const Milliseconds takeover :
+       {Milliseconds(1'500), Milliseconds(4'000), Milliseconds(9'000)}) {
+    FakePool pool({.workers = 8});
+    pool.CrashWorkersOf("crashing", Milliseconds(3'000));
+    pool.Submit("crashing", FakePool::Job(1, 1));
+    while (pool.Outcome("crashing") == JobOutcome::kOpen &&
+           pool.crashes() < 6) {
+      const int crashes = pool.crashes();
+      CHECK(pool.RunUntil(
+          [&] {
+            return pool.crashes() > crashes ||
+                   pool.Outcome("crashing") != JobOutcome::kOpen;
+          },
+          kLongEnough));
+      pool.RunFor(Milliseconds(1'500));
+      if (takeover > Milliseconds(3'000)) {
+        // Nobody leads while the worker returns.
+        pool.PauseLeader(takeover);
+        pool.RunFor(takeover);
+      }
+      pool.ChangeLeader();
+    }
+    CHECK(pool.Outcome("crashing") == JobOutcome::kFailed);
+    CHECK(pool.crashes() <= 3);
+    CheckNoViolation(pool);
+  }
+}
+
+// LOST: fails when a successor counts a suspicion that its predecessor had of a
+// worker which was only cut off.
+TEST(WorkerCrash, SuccessorDropsASuspicionOfAWorkerThatResponds) {
+  FakePool pool({.workers = 4, .task_time = Milliseconds(20'000)});
+  pool.Submit("job", FakePool::Job(1, 1));
+  for (int cut = 0; cut < 4; ++cut) {
+    CHECK(pool.RunUntil([&] { return pool.RunningTasks() == 1; }, kLongEnough));
+    pool.RunFor(Milliseconds(1'000));
+    const int worker = pool.WorkerOf({"job", 0, 0, 0});
+    pool.SetCut(worker, FakePool::Cut::kReset);
+    pool.RunFor(Milliseconds(1'500));
+    pool.ChangeLeader();
+    pool.RunFor(Milliseconds(1'500));
+    pool.SetCut(worker, FakePool::Cut::kNone);
+    pool.RunFor(Milliseconds(1'000));
+    CHECK(pool.state().suspected_runs().empty());
+  }
+  CHECK(Completes(&pool, "job"));
+  CheckNoViolation(pool);
+}
+
 // BUDGET: workers that never return show no crash. Fails when a task that ends
 // one worker after another for good goes on through the pool.
 TEST(WorkerCrash, TaskThatEndsItsWorkersForGoodStartsSeldom) {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -220,7 +220,7 @@
   bool crash_recorded = false;
   // The worker refuses connections, and these runs are suspected for that.
   bool crash_suspected = false;
-  std::vector<RunKey> suspected_runs;
+  std::vector<PossibleCrash> suspected_runs;
 
  private:
   void UpdateReserved(const TrackedRun& run, int64_t sign);
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -64,6 +64,9 @@
   for (const auto& [id, cancelled_unix_ms] : cancelled_unknown_jobs_) {
     snapshot.cancelled_unknown_jobs.push_back({id, cancelled_unix_ms});
   }
+  for (const auto& [id, suspected] : suspected_runs_) {
+    snapshot.suspected_runs.push_back(suspected);
+  }
   return codec::Encode(snapshot);
 }
 
@@ -113,6 +116,10 @@
   for (CancelledUnknownJob& job : snapshot.cancelled_unknown_jobs) {
     state->cancelled_unknown_jobs_[std::move(job.id)] = job.cancelled_unix_ms;
   }
+  for (SuspectedRuns& suspected : snapshot.suspected_runs) {
+    const std::string id = suspected.worker.id;
+    state->suspected_runs_[id] = std::move(suspected);
+  }
   const auto recorded_runs = PlacementsOf(snapshot.recorded_runs);
   if (!recorded_runs) {
     return codec::DamagedError("the recorded runs of the queue snapshot");
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -59,6 +59,7 @@
   std::vector<WithdrawnWorker> withdrawn_workers;
   std::vector<EvacuationRevisionRecord> evacuation_revisions;
   std::vector<CancelledUnknownJob> cancelled_unknown_jobs;
+  std::vector<SuspectedRuns> suspected_runs;
 };
 
 auto Fields(codec::Is<JobStep> auto& v) {
@@ -144,6 +145,12 @@
 auto Fields(codec::Is<RecordFinishedRuns> auto& v) {
   return std::tie(v.finished_runs);
 }
+auto Fields(codec::Is<SuspectedRuns> auto& v) {
+  return std::tie(v.worker, v.runs);
+}
+auto Fields(codec::Is<RecordSuspectedRuns> auto& v) {
+  return std::tie(v.leader_epoch, v.workers);
+}
 auto Fields(codec::Is<WorkerIncarnation> auto& v) {
   return std::tie(v.id, v.started_unix_ms);
 }
@@ -191,12 +198,12 @@
   return std::tie(v.job, v.progress);
 }
 auto Fields(codec::Is<QueueSnapshot> auto& v) {
-  return std::tie(v.version, v.leader_epoch, v.configuration, v.evacuated,
-                  v.workers, v.jobs, v.waves, v.departed_workers,
-                  v.leader_records_placements, v.longest_lease_ms,
-                  v.jobs_with_unrecorded_runs, v.recorded_runs,
-                  v.restarted_workers, v.withdrawn_workers,
-                  v.evacuation_revisions, v.cancelled_unknown_jobs);
+  return std::tie(
+      v.version, v.leader_epoch, v.configuration, v.evacuated, v.workers,
+      v.jobs, v.waves, v.departed_workers, v.leader_records_placements,
+      v.longest_lease_ms, v.jobs_with_unrecorded_runs, v.recorded_runs,
+      v.restarted_workers, v.withdrawn_workers, v.evacuation_revisions,
+      v.cancelled_unknown_jobs, v.suspected_runs);
 }
 
 }  // namespace bramleyrail
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -127,6 +127,19 @@
   std::vector<WorkerIncarnation> workers;
 };
 
+// Runs that may have crashed a worker, which refuses connections, as they count
+// once its process is known to have ended; none: it is not suspected any more.
+struct SuspectedRuns {
+  WorkerIncarnation worker;
+  std::vector<FinishedRun> runs;
+};
+
+// Has no effect once a later leader has begun.
+struct RecordSuspectedRuns {
+  int64_t leader_epoch = 0;
+  std::vector<SuspectedRuns> workers;
+};
+
 using QueueCommandBody = std::variant<BeginLeadership,
                                       ReplaceConfiguration,
                                       SetEvacuated,
@@ -140,7 +153,8 @@
                                       FinishMachineMaintenance,
                                       ReadBarrier,
                                       RecordPlacements,
-                                      ForgetWithdrawnWorkers>;
+                                      ForgetWithdrawnWorkers,
+                                      RecordSuspectedRuns>;
 
 struct QueueCommand {
   int64_t proposed_unix_ms = 0;
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -228,6 +228,20 @@
   return {.found = true, .changed = erased > 0};
 }
 
+QueueOutcome QueueState::Handle(const RecordSuspectedRuns& command, int64_t) {
+  if (command.leader_epoch != leader_epoch_) {
+    return {};
+  }
+  for (const SuspectedRuns& suspected : command.workers) {
+    if (suspected.runs.empty()) {
+      suspected_runs_.erase(suspected.worker.id);
+    } else {
+      suspected_runs_[suspected.worker.id] = suspected;
+    }
+  }
+  return {.found = true, .changed = !command.workers.empty()};
+}
+
 QueueOutcome QueueState::Handle(const SubmitJob& command, int64_t unix_ms) {
   auto [position, inserted] = jobs_.try_emplace(command.id);
   if (!inserted) {
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -101,6 +101,11 @@
   // one of them did not state it.
   std::optional<int64_t> longest_lease_ms() const;
   const RecordedRuns& recorded_runs() const { return recorded_runs_; }
+  // By id, the workers that refuse connections and have runs that may have
+  // crashed them.
+  const std::map<std::string, SuspectedRuns>& suspected_runs() const {
+    return suspected_runs_;
+  }
   // Whether a later incarnation of the worker has registered with its id.
   bool HasRestarted(const std::string& worker) const {
     return restarted_workers_.contains(worker);
@@ -133,6 +138,7 @@
   QueueOutcome Handle(const ReadBarrier& command, int64_t unix_ms);
   QueueOutcome Handle(const RecordPlacements& command, int64_t unix_ms);
   QueueOutcome Handle(const ForgetWithdrawnWorkers& command, int64_t unix_ms);
+  QueueOutcome Handle(const RecordSuspectedRuns& command, int64_t unix_ms);
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
   static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
   void MarkDone(const TaskName& task, QueuedJob* job);
@@ -151,6 +157,7 @@
   std::map<std::string, DepartedWorker> departed_workers_;  // By id.
   std::map<std::string, WithdrawnWorker> withdrawn_workers_;
   std::set<std::string> restarted_workers_;
+  std::map<std::string, SuspectedRuns> suspected_runs_;  // By worker id.
   Jobs jobs_;
   // Ids that were cancelled and not known, and when. A submission may arrive
   // after the cancellation that its caller has sent later.
