Control: Check the pool of a heartbeat for a registered worker

Cause: the pool and the failure domain of a heartbeat were checked for ids that were not registered only. A heartbeat of another writer, for a pool that is not configured, took the id of a worker at work with a later start, and the leader took that for a restart. It was also noted as the newest of the worker, whose own heartbeats then counted as late.

Change: the check applies to each heartbeat that would add an incarnation or change its pool or failure domain, and a heartbeat that fails it is not noted as the newest. A worker whose pool was removed may still announce its end.

RegistrationCheck.HeartbeatOfAnotherWriterDoesNotReplaceAWorker fails before.

--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -323,20 +323,23 @@
     callback(Success());  // A newer heartbeat arrived first.
     return;
   }
-  std::tie(incarnation, sequence) = newest;
   registration.heartbeat_sequence = heartbeat.sequence;
-  dispatch_->ObserveClock(registration.id, registration.started_unix_ms,
-                          heartbeat.clock_ms);
   const RegistrationCheck check = queue_->Read([&](const QueueState& state) {
     return CheckRegistration(state, registration, failure_domains_);
   });
-  if (check != RegistrationCheck::kNew) {
-    if (check == RegistrationCheck::kUnusable) {
-      LogEvent(kHeartbeatIgnored,
-               {{"worker", registration.id},
-                {"pool", registration.pool},
-                {"failure_domain", registration.failure_domain}});
-    }
+  if (check == RegistrationCheck::kUnusable) {
+    // Those of the worker itself, which may be older, must not count as late.
+    LogEvent(kHeartbeatIgnored,
+             {{"worker", registration.id},
+              {"pool", registration.pool},
+              {"failure_domain", registration.failure_domain}});
+    callback(Success());
+    return;
+  }
+  std::tie(incarnation, sequence) = newest;
+  dispatch_->ObserveClock(registration.id, registration.started_unix_ms,
+                          heartbeat.clock_ms);
+  if (check == RegistrationCheck::kRecorded) {
     callback(Success());
     return;
   }
--- a/packages/control/registration_check.cc
+++ b/packages/control/registration_check.cc
@@ -8,9 +8,16 @@
     const std::set<std::string>& failure_domains) {
   const auto found = state.workers().find(registration.id);
   if (found != state.workers().end()) {
-    return DescribeAlike(found->second, registration)
-               ? RegistrationCheck::kRecorded
-               : RegistrationCheck::kNew;
+    const WorkerRegistration& current = found->second;
+    if (DescribeAlike(current, registration)) {
+      return RegistrationCheck::kRecorded;
+    }
+    // A worker may still announce its end after its pool was removed.
+    if (current.started_unix_ms == registration.started_unix_ms &&
+        current.pool == registration.pool &&
+        current.failure_domain == registration.failure_domain) {
+      return RegistrationCheck::kNew;
+    }
   }
   const QueueConfiguration& configuration = state.configuration();
   // Workers register before the first configuration is stored.
--- a/packages/control/registration_check.h
+++ b/packages/control/registration_check.h
@@ -11,7 +11,7 @@
 enum class RegistrationCheck {
   kRecorded,  // The state describes the worker so already.
   kNew,
-  kUnusable,  // Of an unregistered worker that no job could use.
+  kUnusable,  // Of an unregistered incarnation that no job could use.
 };
 
 // Says what to do with the registration of a heartbeat. A registration takes
--- a/packages/control/tests/registration_check_test.cc
+++ b/packages/control/tests/registration_check_test.cc
@@ -45,6 +45,26 @@
         RegistrationCheck::kUnusable);
 }
 
+// TWICE: a heartbeat of another writer, with the id of a worker at work and a
+// pool that does not exist, counted as a later incarnation of the worker, and
+// its tasks started elsewhere. Fails when it is recorded.
+TEST(RegistrationCheck, HeartbeatOfAnotherWriterDoesNotReplaceAWorker) {
+  Configure();
+  WorkerRegistration worker = Registration("w", "pool", "east");
+  worker.started_unix_ms = 5;
+  state_.Apply({0, PutWorker{worker}});
+  for (const int64_t started : {5, 6}) {
+    WorkerRegistration odd = Registration("w", "odd", "east");
+    odd.started_unix_ms = started;
+    CHECK(Check(odd) == RegistrationCheck::kUnusable);
+    odd = Registration("w", "pool", "odd");
+    odd.started_unix_ms = started;
+    CHECK(Check(odd) == RegistrationCheck::kUnusable);
+  }
+  worker.started_unix_ms = 6;
+  CHECK(Check(worker) == RegistrationCheck::kNew);
+}
+
 // Fails when workers cannot register before the first configuration, or when
 // the end of one whose pool was removed is not recorded.
 TEST(RegistrationCheck, WorkersRegisterBeforeTheirPoolIsConfigured) {
