HTTP: Know a connection only after a response

A call that opened a connection and was not sent, because its time had passed meanwhile or its instance no longer led, left the connection as one that had been used. The next lease renewal on it would have carried an acknowledgement, although its process had sent no response and may be a later incarnation of the worker.

Change: a connection counts as known once a response has arrived on it.

Evidence: AsyncHttp.FirstRequestOnAConnectionHasItsOwnBody, with such a call first, fails before ("known" instead of "new") and passes with the change.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -442,8 +442,8 @@
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
   TrackedWorkers workers_;
-  std::set<std::string>
-      suspected_workers_;  // Ids, of workers that may be gone.
+  // Ids of workers that may have crashed.
+  std::set<std::string> suspected_workers_;
   // Ids of workers that may be due for an order before the next sweep.
   std::vector<std::string> due_workers_;
   MonotonicTime next_worker_sweep_;
--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -108,7 +108,8 @@
   std::optional<http::request_serializer<http::string_body>> serializer;
   // Empty until the first request is written.
   std::optional<http::response_parser<http::string_body>> parser;
-  bool used_before = false;
+  // The process at the other end has sent a response on it.
+  bool has_responded = false;
 };
 
 struct AsyncHttpClient::PendingCall {
@@ -309,7 +310,7 @@
   call->written = BootTimeNow();
   Connection& connection = *call->connection;
   connection.request =
-      EncodeRequest(call->address, call->request, !connection.used_before);
+      EncodeRequest(call->address, call->request, !connection.has_responded);
   connection.serializer.emplace(connection.request);
   connection.parser.emplace();
   connection.parser->body_limit(kMaximumResponseBytes);
@@ -427,7 +428,7 @@
   if (!result) {
     LogFailure(*call, result.error());
   }
-  call->connection->used_before = true;
+  call->connection->has_responded |= result.has_value();
   call->connection->deadline.cancel();
   error_code ignored;
   call->connection->socket.cancel(ignored);
@@ -479,7 +480,7 @@
        {"connect_ms", MillisecondsBetween(began, written)},
        {"response_ms", MillisecondsBetween(written, now)},
        {"late_ms", MillisecondsBetween(call.deadline, now)},
-       {"reused", call.connection != nullptr && call.connection->used_before},
+       {"reused", call.connection != nullptr && call.connection->has_responded},
        {"suppressed", failure_lines_.TakeSuppressed()},
        {"error", error.ToString()}});
 }
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -263,6 +263,8 @@
       });
   HttpRequest request = Post("known");
   request.body_on_new_connection = "new";
+  // This call opens the connection and is not sent.
+  CHECK(!loop.Call(request, Milliseconds(5'000), "", [] { return false; }));
   const auto first = loop.Call(request, Milliseconds(5'000));
   STRCMP_EQUAL("new", first.value().body.c_str());
   const auto second = loop.Call(request, Milliseconds(5'000));
