HTTP: Look only at connections that have been idle for a second

A look at a kept connection before each call is a system call for each order of a busy leader. Servers state their idle time-outs in whole seconds, so a connection that was used more recently is taken as open; when it is not, the outcome of the call is unknown, as when the close is still on its way. AsyncHttp.CallSurvivesAServerThatClosesIdleConnections waits for that second.

--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -32,6 +32,10 @@
 // Pause between looks at a connection that was established and whose completion
 // waits in the loop.
 constexpr Milliseconds kLookAgainDelay{20};
+// Servers state their idle time-outs in whole seconds. A look at a connection
+// that was used more recently is a system call for each order of a busy leader,
+// and its processor time delays the orders of large fleets.
+constexpr Milliseconds kShortestIdleTimeout{1'000};
 
 int64_t MillisecondsBetween(MonotonicTime from, MonotonicTime to) {
   return std::chrono::floor<Milliseconds>(to - from).count();
@@ -85,12 +89,17 @@
   // the server has not closed it, and has sent nothing after the response to
   // the last call, as far as this side has received it. A request that is
   // written to a closed connection has an unknown outcome.
-  bool IsReusable() {
+  bool IsReusable(MonotonicTime now) {
+    if (buffer.size() > 0) {
+      return false;
+    }
+    if (now - last_used < kShortestIdleTimeout) {
+      return true;
+    }
     char next = 0;
     const ssize_t count = recv(socket.native_handle(), &next, sizeof next,
                                MSG_PEEK | MSG_DONTWAIT);
-    return buffer.size() == 0 && count < 0 &&
-           (errno == EAGAIN || errno == EINTR);
+    return count < 0 && (errno == EAGAIN || errno == EINTR);
   }
 
   // Read and written without waiting, never by operations of the loop: those
@@ -104,6 +113,7 @@
   // Empty until the first request is written.
   std::optional<http::response_parser<http::string_body>> parser;
   bool used_before = false;
+  MonotonicTime last_used;  // When the last call on it ended.
 };
 
 struct AsyncHttpClient::PendingCall {
@@ -182,12 +192,13 @@
     return false;
   }
   call->number = grant->connection;
-  call->began = BootTimeNow();
+  const MonotonicTime now = BootTimeNow();
+  call->began = now;
   if (grant->is_new) {
     Connect(call);
   } else {
     call->connection = connections_.at(call->number);
-    if (call->connection->IsReusable()) {
+    if (call->connection->IsReusable(now)) {
       Exchange(call);
     } else {
       call->connection->Close();
@@ -421,12 +432,14 @@
   if (!result) {
     LogFailure(*call, result.error());
   }
+  const MonotonicTime now = BootTimeNow();
   call->connection->used_before = true;
+  call->connection->last_used = now;
   call->connection->deadline.cancel();
   error_code ignored;
   call->connection->socket.cancel(ignored);
   call->connection.reset();
-  pool_.Release(call->number, reusable, BootTimeNow());
+  pool_.Release(call->number, reusable, now);
   CloseRemoved();
   BeginWaiting(call->address);
   call->callback(std::move(result));
--- a/packages/http/tests/async_http_test.cc
+++ b/packages/http/tests/async_http_test.cc
@@ -262,6 +262,8 @@
   CHECK(
       loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
   server.WaitUntilClosed();
+  // The shortest idle time-out that a server can state.
+  std::this_thread::sleep_for(Milliseconds(1'000));
   CHECK(
       loop.Call(Post("x"), Milliseconds(5'000), server.address()).has_value());
   LONGS_EQUAL(2, server.requests());
