--- a/packages/http/async_http_client.cc
+++ b/packages/http/async_http_client.cc
@@ -85,10 +85,8 @@
     return poll(&descriptor, 1, 0) > 0;
   }
 
-  // Whether a request may be written to this connection, which has been idle:
-  // the server has not closed it, and has sent nothing after the response to
-  // the last call, as far as this side has received it. A request that is
-  // written to a closed connection has an unknown outcome.
+  // Whether the server has neither closed this idle connection nor sent more
+  // than the response to the last call, as far as this side knows.
   bool IsReusable(MonotonicTime now) {
     if (buffer.size() > 0) {
       return false;
