Queue, Dispatch: Add client accounts to the stored types

The users' configurations will hold client accounts with keys, a weight and a limit. The stored types get the fields that keys, limits and shares need, at the end of their records, so that stored state of the version before still opens. No code reads them yet.

--- a/packages/dispatch/dispatch_batches.h
+++ b/packages/dispatch/dispatch_batches.h
@@ -2,8 +2,11 @@
 #define PACKAGES_DISPATCH_DISPATCH_BATCHES_H_
 
 #include <cstdint>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "packages/dispatch/tracked_worker.h"
 #include "packages/queue/queue.h"
 
 namespace bramleyrail {
@@ -22,6 +25,13 @@
   RecordPlacements command;
 };
 
+// A batch of placements whose start orders are not sent yet.
+struct UnsentStarts {
+  bool durable = false;
+  uint64_t last_finished_batch = 0;  // When the batch was taken.
+  std::vector<std::pair<std::string, RunKey>> runs;  // With their workers.
+};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_DISPATCH_BATCHES_H_
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -14,8 +14,8 @@
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
-#include "packages/dispatch/failed_requests.h"
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/placement_pass.h"
 #include "packages/dispatch/ready_steps.h"
 #include "packages/dispatch/standing_task.h"
 #include "packages/dispatch/tracked_job.h"
@@ -154,18 +154,6 @@
                 MonotonicTime now);
   void StopRunsOfEndedJob(const TrackedJob& job, MonotonicTime now);
 
-  // One pass over the ready tasks.
-  struct PlacementPass {
-    bool IsOver() const { return starts_left <= 0 || attempts_left <= 0; }
-
-    MonotonicTime now;
-    // How many tasks, or gangs, may still start, and be tried.
-    int64_t starts_left = 0;
-    int64_t attempts_left = 0;
-    // Eligible workers by pool, found once.
-    std::map<std::string, EligibleWorkers> eligible;
-    FailedRequests failed;
-  };
   void PlaceReadyTasks(const QueueState& state, MonotonicTime now);
   // Whether the step waits for workers that may run any task of its job.
   bool IsHeldByTakeover(TrackedJob* job,
@@ -463,12 +451,6 @@
   std::map<uint64_t, std::map<std::string, int64_t>> unconfirmed_batches_;
   uint64_t last_batch_ = 0;
   std::vector<RunPlacement> placements_;  // Since the last batch.
-  // Batches of placements whose start orders are not sent yet.
-  struct UnsentStarts {
-    bool durable = false;
-    uint64_t last_finished_batch = 0;  // When the batch was taken.
-    std::vector<std::pair<std::string, RunKey>> runs;  // With their workers.
-  };
   std::map<uint64_t, UnsentStarts> unsent_starts_;
   uint64_t last_placement_batch_ = 0;
   int64_t unix_ms_ = 0;  // Time of the current step.
@@ -476,11 +458,6 @@
   MonotonicTime last_lag_;  // When the owner was last late with a step.
   Milliseconds longest_wait_{0};
   MonotonicTime next_resume_;  // Of the steps that wait for a worker.
-  // Since when a task has stood still, and how often that was logged.
-  struct StandingSince {
-    MonotonicTime time;
-    int reports = 0;
-  };
   std::map<TaskName, StandingSince> standing_since_;
   MonotonicTime next_standing_check_;
   bool synchronized_ = false;
--- a/packages/dispatch/standing_task.h
+++ b/packages/dispatch/standing_task.h
@@ -34,6 +34,12 @@
   std::optional<int64_t> behind;  // Index of the other task.
 };
 
+// Since when a task has stood still, and how often that was logged.
+struct StandingSince {
+  MonotonicTime time;
+  int reports = 0;
+};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_STANDING_TASK_H_
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -4,6 +4,7 @@
 // Public header of the queue package: jobs that callers submit to queues, and
 // the replicated state that stores them.
 
+#include "packages/queue/client_account.h"
 #include "packages/queue/crash_limit.h"
 #include "packages/queue/job_specification.h"
 #include "packages/queue/maintenance_wave.h"
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -83,13 +83,18 @@
 auto Fields(codec::Is<JobQueue> auto& v) {
   return std::tie(v.name, v.host, v.path_prefix, v.pool, v.timeout_ms,
                   v.priority, v.maximum_attempts, v.stretch_factor,
-                  v.target_latency_ms, v.advice);
+                  v.target_latency_ms, v.advice, v.is_public);
 }
 auto Fields(codec::Is<WorkerPool> auto& v) {
   return std::tie(v.name, v.health_path, v.refuses_overcommitment, v.standby);
 }
+auto Fields(codec::Is<ClientAccount> auto& v) {
+  return std::tie(v.name, v.keys, v.priority, v.weight,
+                  v.limit.processor_millis, v.limit.memory_mib,
+                  v.limit.accelerators);
+}
 auto Fields(codec::Is<QueueConfiguration> auto& v) {
-  return std::tie(v.version, v.text, v.queues, v.pools);
+  return std::tie(v.version, v.text, v.queues, v.pools, v.accounts);
 }
 auto Fields(codec::Is<WorkerRegistration> auto& v) {
   return std::tie(v.id, v.started_unix_ms, v.machine, v.address, v.pool,
@@ -134,7 +139,8 @@
 }
 auto Fields(codec::Is<SubmitJob> auto& v) {
   return std::tie(v.id, v.queue, v.pool, v.maximum_attempts, v.priority,
-                  v.stretch_factor, v.target_latency_ms, v.specification);
+                  v.stretch_factor, v.target_latency_ms, v.specification,
+                  v.account);
 }
 auto Fields(codec::Is<CancelQueuedJob> auto& v) {
   return std::tie(v.id);
@@ -192,7 +198,7 @@
   return std::tie(v.id, v.queue, v.pool, v.maximum_attempts, v.priority,
                   v.stretch_factor, v.target_latency_ms, v.specification,
                   v.submitted_unix_ms, v.ended_unix_ms, v.outcome,
-                  v.unfinished_tasks);
+                  v.unfinished_tasks, v.account);
 }
 auto Fields(codec::Is<JobRecord> auto& v) {
   return std::tie(v.job, v.progress);
--- a/packages/queue/queue_command.h
+++ b/packages/queue/queue_command.h
@@ -62,6 +62,7 @@
   double stretch_factor = 1;
   int64_t target_latency_ms = 0;
   JobSpecification specification;
+  std::string account;  // Of the submitter; empty: none.
 };
 
 struct CancelQueuedJob {
--- a/packages/queue/queue_configuration.cc
+++ b/packages/queue/queue_configuration.cc
@@ -39,6 +39,16 @@
   return nullptr;
 }
 
+const ClientAccount* QueueConfiguration::FindAccount(
+    std::string_view name) const {
+  for (const ClientAccount& account : accounts) {
+    if (account.name == name) {
+      return &account;
+    }
+  }
+  return nullptr;
+}
+
 Result<void> ValidateQueues(const QueueConfiguration& configuration) {
   std::vector<FieldFault> faults;
   std::set<std::pair<std::string, std::string>> host_prefixes;
--- a/packages/queue/queue_configuration.h
+++ b/packages/queue/queue_configuration.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "packages/base/base.h"
+#include "packages/queue/client_account.h"
 
 namespace bramleyrail {
 
@@ -34,6 +35,8 @@
   double stretch_factor = 1;
   int64_t target_latency_ms = 0;
   std::optional<PlacementAdvice> advice;
+  // Calls need no key of a client account.
+  bool is_public = false;
 };
 
 struct WorkerPool {
@@ -50,10 +53,13 @@
   std::string text;  // The submitted text, returned to operators unchanged.
   std::vector<JobQueue> queues;
   std::vector<WorkerPool> pools;
+  // Empty: calls need no key, and no account limits their jobs.
+  std::vector<ClientAccount> accounts;
 
   const JobQueue* FindQueue(std::string_view host, std::string_view path) const;
   const JobQueue* FindQueueByName(std::string_view name) const;
   const WorkerPool* FindPool(std::string_view name) const;
+  const ClientAccount* FindAccount(std::string_view name) const;
 };
 
 // Rejects an unknown pool, two queues with the same host and prefix, and a
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -256,6 +256,7 @@
   job->stretch_factor = command.stretch_factor;
   job->target_latency_ms = command.target_latency_ms;
   job->specification = command.specification;
+  job->account = command.account;
   job->submitted_unix_ms = unix_ms;
   job->unfinished_tasks = TaskCount(command.specification);
   position->second = std::move(job);
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -57,6 +57,7 @@
   // stored at its first member. Cleared when the job ends.
   std::map<TaskName, TaskProgress> progress;
   int64_t unfinished_tasks = 0;
+  std::string account;  // Of the submitter; empty: none.
 };
 
 // The replicated state of the job queues. Commands are applied in log order,
