Dispatch: Plan starts from the runs that will end

Small tasks take each part of the room that a larger one needs as soon as it is free. Reservations kept one worker in ten for long-running tasks alone until its last run had ended; wide steps that end had no claim at all.

A step that has waited for 500 ms and fits no gap now gets planned starts (StartPlanner, RoomSearch, StartForecast). Other tasks start on the worker before only if they end by then, or leave the room for the planned task. Durations are learned for each queue and image from finished runs (RunTimeEstimator). While something waits, tasks prefer workers on which they break no gap for the largest task that waits. Plans never hold long-running tasks or higher priorities.

BusyPool can submit its tasks with other estimates and objectives, and the property of FailedRequests now draws plans, priorities and durations, too.

All tests of the dispatch package pass.

--- a/packages/control/dispatch_load.cc
+++ b/packages/control/dispatch_load.cc
@@ -67,7 +67,13 @@
        {"renewal_connections", renewals ? renewals->open_connections() : 0},
        {"renewals_waiting", renewals ? renewals->waiting_calls() : 0},
        {"open_jobs", dispatcher.job_count()},
-       {"ready_tasks", dispatcher.ready_task_count()}});
+       {"ready_tasks", dispatcher.ready_task_count()},
+       {"starts_planned", counters.starts_planned - reported_.starts_planned},
+       {"plans_kept", counters.plans_kept - reported_.plans_kept},
+       {"plans_failed", counters.plans_failed - reported_.plans_failed},
+       {"backfilled_starts",
+        counters.backfilled_starts - reported_.backfilled_starts},
+       {"plan_visits", counters.plan_visits - reported_.plan_visits}});
   Reset();
   reported_ = counters;
 }
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -39,11 +39,10 @@
                                                      "earlier_runs_held"};
 inline constexpr LogEventDefinition kStepHeldAfterCrash{
     9217, LogSeverity::kInfo, "step_held_after_crash"};
-inline constexpr LogEventDefinition kRoomReserved{9218, LogSeverity::kInfo,
-                                                  "room_reserved"};
-inline constexpr LogEventDefinition kRoomReservationEnded{
-    9219, LogSeverity::kInfo, "room_reservation_ended"};
-
+inline constexpr LogEventDefinition kStartPlanned{9250, LogSeverity::kInfo,
+                                                  "start_planned"};
+inline constexpr LogEventDefinition kStartPlanEnded{9251, LogSeverity::kInfo,
+                                                    "start_plan_ended"};
 inline constexpr LogEventDefinition kTaskStands{9221, LogSeverity::kInfo,
                                                 "task_stands"};
 inline constexpr LogEventDefinition kStandingTasks{9222, LogSeverity::kInfo,
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -323,6 +323,9 @@
     tracked.cpu_limit_percent =
         selector_.InitialCpuLimit(step, *worker, interference_model_);
   }
+  tracked.expected_end =
+      now + LongestDuration(job->job(), step).value_or(Milliseconds(0));
+  start_planner_.RecordStart(task, step.long_running, worker, now);
   TrackedRun& added = worker->AddRun({task, run}, std::move(tracked));
   LogEvent(kRunStarted,
            {{"task", task.ToString()},
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -14,10 +14,13 @@
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
+#include "packages/dispatch/largest_waiting_task.h"
 #include "packages/dispatch/latency_interference_model.h"
 #include "packages/dispatch/placement_pass.h"
 #include "packages/dispatch/ready_steps.h"
+#include "packages/dispatch/run_time_estimator.h"
 #include "packages/dispatch/standing_task.h"
+#include "packages/dispatch/start_planner.h"
 #include "packages/dispatch/tracked_job.h"
 #include "packages/dispatch/tracked_worker.h"
 #include "packages/dispatch/worker_order.h"
@@ -26,8 +29,6 @@
 
 namespace bramleyrail {
 
-class ReservationSearch;
-
 // Makes the scheduling decisions of one leader epoch: which tasks start on
 // which workers, which runs are stopped, and how the lists that workers report
 // change the state of tasks. The owner sends the orders, passes the responses
@@ -159,40 +160,6 @@
   bool IsHeldByTakeover(TrackedJob* job,
                         const TaskName& step,
                         MonotonicTime now) const;
-  // Ends reservations that are of no use any more, and reserves workers for
-  // long-running tasks that wait for room. Call after a pass that has tried the
-  // deferred steps again.
-  void UpdateReservations(const PlacementPass& pass);
-  void EndReservations(const PlacementPass& pass);
-  bool IsReservationUseful(const TrackedWorker& worker,
-                           const PlacementPass& pass);
-  // Whether the worker gets no new runs for a short time only.
-  static bool IsPaused(const TrackedWorker& worker, MonotonicTime now);
-  // Whether the pass may start tasks on the worker; true for a pool that it has
-  // not tried.
-  static bool IsEligible(const TrackedWorker& worker,
-                         const std::string& pool_name,
-                         const PlacementPass& pass);
-  // Whether the gang still needs all its reserved workers.
-  bool IsGangReservationUseful(const TaskName& first,
-                               const std::vector<const TrackedWorker*>& workers,
-                               const PlacementPass& pass);
-  // Fills `gang_reservations_`, too.
-  std::set<TaskName> FindUsefulGangReservations(const PlacementPass& pass);
-  // Reserves one more worker for the step, or all those that a gang needs, if
-  // it waits for room.
-  void ReserveForStep(const TaskName& first,
-                      TrackedJob* job,
-                      const PlacementPass& pass,
-                      ReservationSearch* search);
-  void ReserveForGang(const TaskName& first,
-                      TrackedJob* job,
-                      const PlacementPass& pass,
-                      ReservationSearch* search);
-  void Reserve(TrackedWorker* worker,
-               const TaskName& step,
-               const TrackedStep& tracked_step,
-               MonotonicTime now);
   // Places the ready tasks of the job step that `task` names.
   void PlaceStep(TaskName task,
                  TrackedJob* job,
@@ -206,6 +173,10 @@
                             const TaskName& task,
                             Milliseconds waited,
                             MonotonicTime now) const;
+  // A high estimate for a run of the step; nullopt for a long-running one.
+  std::optional<Milliseconds> LongestDuration(const QueuedJob& job,
+                                              const JobStep& step) const;
+  void RecordRunTime(const TrackedRun& run, MonotonicTime now);
   // Starts a long-running task that has waited on a worker that is failing.
   // Returns false when it has not waited long enough, or no such worker has
   // room.
@@ -222,6 +193,11 @@
                             Milliseconds waited,
                             std::optional<WorkerRanking>* ranking,
                             PlacementPass* pass);
+  // Starts a task, which finds no room elsewhere, as planned.
+  WorkerSelection PlaceAsPlanned(const EligibleWorkers& eligible,
+                                 TrackedJob* job,
+                                 const WorkerRequest& request,
+                                 const WorkerRejections& rejections);
   WorkerSelection PlaceGang(const EligibleWorkers& eligible,
                             TrackedJob* job,
                             const TaskName& first,
@@ -233,7 +209,6 @@
                                 MonotonicTime now) const;
   // Logs which long-running tasks stand still, and why.
   void ReportStandingTasks(MonotonicTime now);
-  static Milliseconds WaitOf(const TrackedStep& step, MonotonicTime now);
   static void EndWait(TargetProtection protection,
                       MonotonicTime now,
                       TrackedStep* step);
@@ -437,10 +412,8 @@
   MonotonicTime next_worker_sweep_;
   std::map<std::string, std::unique_ptr<TrackedJob>, std::less<>> jobs_;
   ReadySteps ready_;
-  // By the first task of a step, how many workers are reserved for it.
-  std::map<TaskName, size_t> reservations_;
-  // By pool, the first task of the gang that has workers reserved.
-  std::map<std::string, TaskName> gang_reservations_;
+  RunTimeEstimator run_times_;
+  LargestWaitingTask largest_waiting_;
   // When the next occurrence of a job is due, and the job.
   std::set<std::pair<int64_t, std::string>> releases_;
   std::vector<WorkerOrder> orders_;
@@ -468,6 +441,7 @@
   bool held_runs_reported_ = false;
   bool superseded_ = false;
   Counters counters_;
+  StartPlanner start_planner_{&counters_};
 };
 
 }  // namespace bramleyrail
--- a/packages/dispatch/dispatcher_counters.h
+++ b/packages/dispatch/dispatcher_counters.h
@@ -15,6 +15,14 @@
   uint64_t runs_lost = 0;
   uint64_t lease_renewals = 0;
   uint64_t cpu_limit_orders = 0;
+  // Planned starts; those that came about, those that failed, and tasks that
+  // started before one on its worker.
+  uint64_t starts_planned = 0;
+  uint64_t plans_kept = 0;
+  uint64_t plans_failed = 0;
+  uint64_t backfilled_starts = 0;
+  // How often a worker was looked at for a plan.
+  uint64_t plan_visits = 0;
   // How often a worker was rated for a task.
   uint64_t worker_ratings = 0;
   // How often a job was looked at to follow changes of the state, and a ready
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -22,7 +22,7 @@
 // runs.
 constexpr Milliseconds kMaximumIsolationWait{1'000};
 // A long-running task for which no other worker has room starts on a failing
-// one after this time. A reservation mostly finds room before.
+// one after this time. A planned start mostly finds room before.
 constexpr Milliseconds kLastResortWait{2'000};
 // A step that waits this long is logged.
 constexpr Milliseconds kFirstWaitReport{1'000};
@@ -33,12 +33,6 @@
 
 }  // namespace
 
-Milliseconds Dispatcher::WaitOf(const TrackedStep& step, MonotonicTime now) {
-  return step.waiting_since
-             ? std::chrono::floor<Milliseconds>(now - *step.waiting_since)
-             : Milliseconds(0);
-}
-
 bool Dispatcher::IsHeldByTakeover(TrackedJob* job,
                                   const TaskName& step,
                                   MonotonicTime now) const {
@@ -70,7 +64,7 @@
     // Placing the last ready task of the step removes its entry.
     const auto& [key, job] = *position++;
     const TrackedStep& step = job->step_record(key.occurrence, key.step);
-    longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
+    longest_wait_ = std::max(longest_wait_, step.WaitTime(now));
     const TaskName first{key.job, key.occurrence, key.step, 0};
     if (!IsHeldByTakeover(job, first, now)) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
@@ -82,7 +76,9 @@
     }
   }
   if (retries_all) {
-    UpdateReservations(pass);
+    start_planner_.Update(
+        {pass, workers_, ready_.deferred_steps(),
+         [this](std::string_view id) { return FindJob(id); }});
   }
 }
 
@@ -117,9 +113,9 @@
       continue;
     }
     WorkerSelection selection =
-        job->step(task).gang
-            ? PlaceGang(eligible, job, task, pass)
-            : PlaceTask(eligible, job, task, WaitOf(step, now), &ranking, pass);
+        job->step(task).gang ? PlaceGang(eligible, job, task, pass)
+                             : PlaceTask(eligible, job, task,
+                                         step.WaitTime(now), &ranking, pass);
     if (selection.worker == nullptr) {
       ReportWait(*job, task, selection.rejections, now, &step);
       // This does not end the wait of the step: the worker may fail again.
@@ -136,12 +132,16 @@
     }
     --pass->starts_left;
     EndWait(selection.protection, now, &step);
-    if (WorkerSelector::ProtectionAfter(WaitOf(step, now)) !=
+    if (WorkerSelector::ProtectionAfter(step.WaitTime(now)) !=
         selection.protection) {
       ranking.reset();
     }
   }
   if (without_worker) {
+    if (!job->step(task).best_effort) {
+      largest_waiting_.Add(job->job().pool,
+                           job->step(task).size.processor_millis, now);
+    }
     ready_.Defer(job, task);
   }
   if (!held_after_crash) {
@@ -203,7 +203,7 @@
                         {"best_effort", job.step(task).best_effort},
                         {"ineligible", rejections.ineligible},
                         {"not_isolated", rejections.not_isolated},
-                        {"reserved", rejections.reserved},
+                        {"planned", rejections.planned},
                         {"no_capacity", rejections.no_capacity},
                         {"best_effort_full", rejections.best_effort_full},
                         {"label_missing", rejections.label_missing},
@@ -240,7 +240,31 @@
           waited,
           suspected,
           suspected && now - job->task(task).not_before < kMaximumIsolationWait,
-          now};
+          now,
+          LongestDuration(job->job(), step),
+          largest_waiting_.Find(job->job().pool, now)};
+}
+
+std::optional<Milliseconds> Dispatcher::LongestDuration(
+    const QueuedJob& job,
+    const JobStep& step) const {
+  if (step.long_running) {
+    return std::nullopt;
+  }
+  return run_times_
+      .Estimate(job.queue, step.image, Milliseconds(step.estimated_task_ms))
+      .high;
+}
+
+void Dispatcher::RecordRunTime(const TrackedRun& run, MonotonicTime now) {
+  // Of other runs it isn't known when they began, or they began with a part of
+  // their work done.
+  if (!run.start_confirmed || !run.checkpoint.empty() || run.job == nullptr) {
+    return;
+  }
+  run_times_.Record(run.job->queue, run.step->image,
+                    Milliseconds(run.step->estimated_task_ms),
+                    std::chrono::floor<Milliseconds>(now - run.started));
 }
 
 bool Dispatcher::PlaceOnFailingWorker(const EligibleWorkers& eligible,
@@ -248,7 +272,7 @@
                                       const TaskName& task,
                                       PlacementPass* pass) {
   // A long-running task has no last attempt that a failing worker could use up.
-  const Milliseconds waited = WaitOf(job->step_record(task), pass->now);
+  const Milliseconds waited = job->step_record(task).WaitTime(pass->now);
   if (eligible.failing.empty() || !job->step(task).long_running ||
       job->step(task).gang || waited < kLastResortWait) {
     return false;
@@ -279,7 +303,7 @@
   WorkerRequest request = MakeRequest(job, task, waited, now);
   if (!*ranking) {
     if (const WorkerRejections* rejections = pass->failed.Find(request)) {
-      return {.rejections = *rejections};
+      return PlaceAsPlanned(eligible, job, request, *rejections);
     }
   }
   --pass->attempts_left;
@@ -321,6 +345,26 @@
   return selection;
 }
 
+WorkerSelection Dispatcher::PlaceAsPlanned(const EligibleWorkers& eligible,
+                                           TrackedJob* job,
+                                           const WorkerRequest& request,
+                                           const WorkerRejections& rejections) {
+  // Plans hold other steps only, so it may have room where they had none.
+  const EligibleWorkers planned =
+      rejections.planned > 0
+          ? start_planner_.FindPlannedWorkers(request.task, eligible)
+          : EligibleWorkers{};
+  counters_.worker_ratings += planned.workers.size();
+  WorkerSelection selection =
+      selector_.Select(request, planned, interference_model_);
+  if (selection.worker == nullptr) {
+    return {.rejections = rejections};
+  }
+  StartRun(job, request.task, NextRunNumber(job->task(request.task)),
+           selection.worker, request.now);
+  return selection;
+}
+
 WorkerSelection Dispatcher::PlaceGang(const EligibleWorkers& eligible,
                                       TrackedJob* job,
                                       const TaskName& first,
@@ -333,6 +377,7 @@
   std::vector<std::pair<TaskName, TrackedWorker*>> members;
   uint64_t run = 0;
   std::string rack = step.data_rack;
+  const auto longest_duration = LongestDuration(job->job(), step);
   WorkerSelection selection;
   for (int64_t index = 0; index < step.tasks; ++index) {
     TaskName task = first;
@@ -345,6 +390,7 @@
     request.avoid_worker = job->task(task).avoid_worker;
     request.preferred_rack = rack;
     request.now = now;
+    request.longest_duration = longest_duration;
     counters_.worker_ratings += eligible.workers.size();
     selection = selector_.Select(request, eligible, interference_model_);
     TrackedWorker* worker = selection.worker;
@@ -358,6 +404,8 @@
     reservation.job = job->shared_job();
     reservation.step = &step;
     reservation.reserved = step.size;
+    reservation.started = now;
+    reservation.expected_end = now + longest_duration.value_or(Milliseconds(0));
     worker->AddRun({task, 0}, std::move(reservation));
     members.emplace_back(task, worker);
   }
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -214,6 +214,10 @@
       finished.outcome == RunOutcome::kDone) {
     worker->isolated_until = {};
   }
+  if (tracked != nullptr && tracked->step != nullptr &&
+      !tracked->step->long_running && finished.outcome == RunOutcome::kDone) {
+    RecordRunTime(*tracked, now);
+  }
   worker->RemoveRun(key);
   LogEvent(kRunEnded, {{"task", finished.task.ToString()},
                        {"run", finished.run},
@@ -371,6 +375,8 @@
   run.job = job->shared_job();
   run.step = &step;
   run.reserved = step.size;
+  run.expected_end =
+      now + LongestDuration(job->job(), step).value_or(Milliseconds(0));
   job->workers.insert(worker->registration().id);
   TrackedRun& added = worker->AddRun(key, std::move(run));
   const bool startable = tracked_task.phase == TaskPhase::kReady ||
--- a/packages/dispatch/failed_requests.cc
+++ b/packages/dispatch/failed_requests.cc
@@ -12,7 +12,8 @@
   }
   entries_.push_back({&request.job->pool, request.step,
                       WorkerSelector::ProtectionAfter(request.waited),
-                      request.lateness, rejections});
+                      request.lateness, request.job->priority,
+                      request.longest_duration, rejections});
 }
 
 const WorkerRejections* FailedRequests::Find(
@@ -23,15 +24,24 @@
   return found == entries_.end() ? nullptr : &found->rejections;
 }
 
+bool FailedRequests::IsHeldAsMuch(const WorkerRequest& request,
+                                  const Entry& failed) {
+  if (failed.rejections.planned == 0) {
+    return true;
+  }
+  return !request.step->long_running &&
+         request.job->priority >= failed.priority &&
+         request.longest_duration.value_or(Milliseconds::max()) >=
+             failed.longest_duration.value_or(Milliseconds::max());
+}
+
 bool FailedRequests::NeedsAsMuch(const WorkerRequest& request,
                                  const Entry& failed) {
   const JobStep& step = *request.step;
   const JobStep& failed_step = *failed.step;
   if (request.job->pool != *failed.pool ||
       step.best_effort != failed_step.best_effort ||
-      // A worker that is reserved rejects ordinary tasks only.
-      (step.long_running && !failed_step.long_running) ||
-      !failed_step.size.FitsInto(step.size) ||
+      !IsHeldAsMuch(request, failed) || !failed_step.size.FitsInto(step.size) ||
       (!failed_step.required_label.empty() &&
        step.required_label != failed_step.required_label)) {
     return false;
--- a/packages/dispatch/failed_requests.h
+++ b/packages/dispatch/failed_requests.h
@@ -1,6 +1,8 @@
 #ifndef PACKAGES_DISPATCH_FAILED_REQUESTS_H_
 #define PACKAGES_DISPATCH_FAILED_REQUESTS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +17,8 @@
  public:
   // The job of the request outlives the pass.
   void Add(const WorkerRequest& request, const WorkerRejections& rejections);
-  // Returns why the request fails, or null when that is not known.
+  // Returns why the request fails, or null when that is not known. It may not
+  // fail on the workers on which its own step has planned starts.
   const WorkerRejections* Find(const WorkerRequest& request) const;
 
  private:
@@ -24,9 +27,14 @@
     const JobStep* step = nullptr;
     TargetProtection protection = TargetProtection::kFull;
     Milliseconds lateness{0};
+    int64_t priority = 0;
+    std::optional<Milliseconds> longest_duration;
     WorkerRejections rejections;
   };
 
+  // Whether all plans that have held the failed request hold this one, unless
+  // they are its own.
+  static bool IsHeldAsMuch(const WorkerRequest& request, const Entry& failed);
   static bool NeedsAsMuch(const WorkerRequest& request, const Entry& failed);
 
   std::vector<Entry> entries_;
--- a/packages/dispatch/tests/busy_pool.h
+++ b/packages/dispatch/tests/busy_pool.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "packages/dispatch/fakes/fake_pool.h"
@@ -17,8 +19,19 @@
   static constexpr int kSmallTasksPerWorker = 4;
   static constexpr Milliseconds kTaskTime{400};
 
-  explicit BusyPool(int workers)
-      : pool_({.workers = workers, .task_time = kTaskTime}),
+  struct Options {
+    // As submitted with the small tasks.
+    int64_t estimated_task_ms = kTaskTime.count();
+    // Of all jobs; 0: they are late.
+    int64_t objective_ms = 0;
+  };
+
+  explicit BusyPool(int workers) : BusyPool(workers, Options()) {}
+  BusyPool(int workers, Options options)
+      : options_(options),
+        pool_({.workers = workers,
+               .task_time = kTaskTime,
+               .stamps_commands = options.objective_ms > 0}),
         interval_(kTaskTime / (workers * kSmallTasksPerWorker)) {
     RunFor(2 * kTaskTime);
   }
@@ -27,11 +40,23 @@
     for (const MonotonicTime end = pool_.now() + duration; pool_.now() < end;) {
       JobSpecification job = FakePool::Job(1, 1);
       job.steps[0].size.processor_millis = kWorkerMillis / kSmallTasksPerWorker;
-      pool_.Submit(absl::StrCat("small", jobs_++), job);
+      job.steps[0].estimated_task_ms = options_.estimated_task_ms;
+      Submit(absl::StrCat("small", jobs_++), std::move(job));
       pool_.RunFor(interval_);
     }
   }
 
+  void Submit(std::string id, JobSpecification job) {
+    SubmitJob command;
+    command.id = std::move(id);
+    command.queue = "queue";
+    command.pool = "pool";
+    command.maximum_attempts = 4;
+    command.target_latency_ms = options_.objective_ms;
+    command.specification = std::move(job);
+    pool_.Apply(std::move(command));
+  }
+
   // Returns false when the condition doesn't hold within the time.
   bool RunUntil(const std::function<bool()>& condition, Milliseconds limit) {
     for (const MonotonicTime end = pool_.now() + limit; pool_.now() < end;) {
@@ -64,6 +89,7 @@
   }
 
  private:
+  const Options options_;
   FakePool pool_;
   const Milliseconds interval_;
   int jobs_ = 0;
--- a/packages/dispatch/tests/placement_load_test.cc
+++ b/packages/dispatch/tests/placement_load_test.cc
@@ -18,6 +18,9 @@
 constexpr int kWorkers = 1'100;
 // A step of this many starts takes less time than the round trip of an order.
 constexpr size_t kStartsPerStep = 100;
+// A search for a plan looks at each worker. This many take less time than the
+// pause between two of them.
+constexpr uint64_t kMaximumSearches = 20;
 
 WorkerRegistration Registration(int number) {
   WorkerRegistration registration;
@@ -145,16 +148,54 @@
   LONGS_EQUAL(60, StartsOfOneStep());
 }
 
+// Pattern: more large steps than a full fleet can take. Fails when the plans
+// for them take more than a bounded number of searches, or hold more than a
+// tenth of the workers.
+TEST(PlacementLoad, PlansForManyLargeStepsAreBounded) {
+  SubmitJob filling;
+  filling.id = "filling";
+  filling.pool = "pool";
+  filling.specification = FakePool::Job(/*tasks=*/kWorkers, /*steps=*/1);
+  filling.specification.steps[0].size.processor_millis = 10'000;
+  state_.Apply({kUnixMs, filling});
+  dispatcher_.Synchronize(state_, now_);
+  for (int step = 0; step < kWorkers / static_cast<int>(kStartsPerStep);
+       ++step) {
+    LONGS_EQUAL(kStartsPerStep, StartsOfOneStep());
+  }
+  SubmitJob large;
+  large.pool = "pool";
+  large.specification = FakePool::Job(/*tasks=*/50, /*steps=*/1);
+  large.specification.steps[0].long_running = true;
+  for (int job = 0; job < 200; ++job) {
+    large.id = absl::StrCat("large-", job);
+    large.specification.steps[0].size.processor_millis = 15'000 - job;
+    state_.Apply({kUnixMs, large});
+  }
+  dispatcher_.Synchronize(state_, now_);
+  for (int update = 0; update < 20; ++update) {
+    const Dispatcher::Counters before = dispatcher_.counters();
+    LONGS_EQUAL(0, StartsOfOneStep());
+    const Dispatcher::Counters& after = dispatcher_.counters();
+    CHECK(after.plan_visits - before.plan_visits <=
+          kMaximumSearches * kWorkers);
+    // One for each size: the large ones come first.
+    CHECK(after.worker_ratings - before.worker_ratings <= 200 * kWorkers);
+    now_ += Milliseconds(80);
+  }
+  LONGS_EQUAL(kWorkers / 10, dispatcher_.counters().starts_planned);
+}
+
 TEST_GROUP(FailedRequests){};
 
+constexpr Milliseconds kDuration{1'000};
+
 // Fails when a request is given up because of a failed one although some worker
 // that could not take the failed one could take it.
 TEST(FailedRequests, CoveredRequestsFailOnEveryWorker) {
   const WorkerSelector selector{WorkerSelector::Options{}};
   const LatencyInterferenceModel model;
   const bool holds = rc::check([&] {
-    QueuedJob job;
-    job.pool = "pool";
     TrackedWorkers workers;
     EligibleWorkers eligible;
     for (int number = 0; number < *rc::gen::inRange(1, 6); ++number) {
@@ -163,9 +204,22 @@
       run.reserved = {*rc::gen::inRange<int64_t>(0, 16'000),
                       *rc::gen::inRange<int64_t>(0, 64'000), 0};
       worker->AddRun({{"other", 0, 0, number}, 1}, run);
+      if (*rc::gen::arbitrary<bool>()) {
+        worker->planned_start = PlannedStart{
+            .step = {"planned", 0, 0, 0},
+            .priority = *rc::gen::inRange(0, 3),
+            .size = {*rc::gen::inRange<int64_t>(0, 16'000), 1'000, 0},
+            .room_kept_from =
+                MonotonicTime(*rc::gen::inRange(0, 3) * kDuration)};
+      }
       eligible.workers.push_back(worker.get());
       workers.emplace(worker->registration().id, std::move(worker));
     }
+    std::vector<QueuedJob> jobs(3);
+    for (size_t priority = 0; priority < jobs.size(); ++priority) {
+      jobs[priority].pool = "pool";
+      jobs[priority].priority = static_cast<int64_t>(priority);
+    }
     FailedRequests failed;
     std::vector<std::shared_ptr<const JobStep>> steps;
     for (int request_number = 0; request_number < 20; ++request_number) {
@@ -173,15 +227,17 @@
       step.size = {*rc::gen::inRange<int64_t>(0, 20'000),
                    *rc::gen::inRange<int64_t>(0, 70'000), 0};
       step.best_effort = *rc::gen::arbitrary<bool>();
+      step.long_running = *rc::gen::arbitrary<bool>();
       step.required_label = *rc::gen::element<std::string>("", "a", "b");
       step.maximum_tasks_per_worker = *rc::gen::inRange<int64_t>(0, 2);
       step.image = *rc::gen::element<std::string>("x", "y");
       const auto kept = std::make_shared<const JobStep>(step);
       steps.push_back(kept);
       WorkerRequest request;
-      request.job = &job;
+      request.job = &jobs[*rc::gen::inRange<size_t>(0, jobs.size())];
       request.step = kept.get();
       request.task = {"job", 0, 0, request_number};
+      request.longest_duration = *rc::gen::inRange(0, 3) * kDuration;
       request.waited = Milliseconds(*rc::gen::inRange(0, 8'000));
       request.lateness = Milliseconds(*rc::gen::inRange(-2'000, 4'000));
       const WorkerSelection selection =
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -67,6 +67,13 @@
   std::optional<int64_t> crash_suspect;
   int64_t unfinished_tasks = 0;
   int64_t unfinished_predecessors = 0;
+
+  // For how long no task of the step could be placed.
+  Milliseconds WaitTime(MonotonicTime now) const {
+    return waiting_since
+               ? std::chrono::floor<Milliseconds>(now - *waiting_since)
+               : Milliseconds(0);
+  }
 };
 
 struct TrackedOccurrence {
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "packages/dispatch/best_effort_estimate.h"
+#include "packages/dispatch/planned_start.h"
 #include "packages/dispatch/worker_order.h"
 
 namespace bramleyrail {
@@ -41,6 +42,8 @@
   const JobStep* step = nullptr;
   ResourceAmounts reserved;
   MonotonicTime started;  // Or taken over from an earlier leader.
+  // By a high estimate, when the run began; without use for a long-running one.
+  MonotonicTime expected_end;
   // Recorded by an earlier leader; whether it has ordered the start is unknown.
   bool from_earlier_leader = false;
   // The worker gets no other run while this one may crash it.
@@ -210,10 +213,8 @@
   // The worker gets no further task under which a worker has crashed: a crash
   // would count against both again.
   MonotonicTime suspect_until;
-  // The step, by its first task, for whose long-running tasks the worker keeps
-  // the room that becomes free. Only long-running tasks start there.
-  std::optional<TaskName> reserved_for;
-  MonotonicTime reserved_since;
+  // See StartPlanner.
+  std::optional<PlannedStart> planned_start;
   // Crashes that count if this incarnation turns out to have ended: of runs
   // that were lost since the last response.
   std::vector<PossibleCrash> possible_crashes;
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "packages/dispatch/largest_waiting_task.h"
+
 namespace bramleyrail {
 
 namespace {
@@ -58,6 +60,10 @@
 // total. Beyond it they only slow down each other and the other runs.
 constexpr double kMaximumBestEffortShare = 1.1;
 
+// Applies to each gap for a large task that waits. A worker that is fuller by
+// half is preferred to one that would lose such a gap.
+constexpr double kLostGapWeight = 0.5;
+
 // Waits after which the protection of targets yields. A best-effort task may
 // not wait without a bound while workers have capacity for it: its job would
 // stand still with a service that is always close to its targets.
@@ -92,6 +98,17 @@
   return with_target == 0 ? kEmptyWorkerSameImageShare : same / with_target;
 }
 
+// How many tasks as large as those that wait would no longer fit on the worker.
+double LostGaps(const WorkerRequest& request, const TrackedWorker& worker) {
+  return request.step->long_running
+             ? 0
+             : static_cast<double>(CountLostParts(
+                   worker.registration().capacity.processor_millis -
+                       worker.reserved().processor_millis,
+                   request.step->size.processor_millis,
+                   request.largest_waiting_millis));
+}
+
 double HeadroomShortfall(double headroom) {
   return std::max(0.0, kDesiredHeadroom - headroom);
 }
@@ -193,6 +210,7 @@
     // large tasks and for best-effort runs that would interfere with them;
     // other tasks are spread.
     score += step.long_running ? -share : share;
+    score += kLostGapWeight * LostGaps(request, worker);
   }
   if (step.target_latency_ms > 0) {
     score += kHeadroomShortfallWeight *
@@ -262,15 +280,15 @@
     ++rejections->not_isolated;
     return std::nullopt;
   }
-  // Other long-running tasks have as good a claim to the room.
-  if (worker->reserved_for && !step.long_running) {
-    ++rejections->reserved;
-    return std::nullopt;
-  }
   if (!HasCapacityFor(*worker, step)) {
     ++rejections->no_capacity;
     return std::nullopt;
   }
+  if (worker->planned_start &&
+      !MayStartBeforePlan(*worker->planned_start, *worker, request)) {
+    ++rejections->planned;
+    return std::nullopt;
+  }
   if (step.best_effort &&
       BestEffortShare(*worker, step) > kMaximumBestEffortShare) {
     ++rejections->best_effort_full;
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -35,6 +35,10 @@
   // The worker may have no run that could be taken for the cause of a crash.
   bool isolated = false;
   MonotonicTime now;
+  // A high estimate; nullopt: the task doesn't end by itself, or unknown.
+  std::optional<Milliseconds> longest_duration;
+  // The room for a task of this size is kept, if possible; 0: none waits.
+  int64_t largest_waiting_millis = 0;
 };
 
 // How many workers could not run a task, by the first reason that was found.
@@ -42,7 +46,7 @@
   int64_t ineligible = 0;  // See IsEligible().
   // See WorkerRequest::isolated, and TrackedWorker::suspect_until.
   int64_t not_isolated = 0;
-  int64_t reserved = 0;          // For long-running tasks.
+  int64_t planned = 0;           // The task would delay a planned start.
   int64_t no_capacity = 0;       // Memory, accelerators or reserved processors.
   int64_t best_effort_full = 0;  // Best-effort runs request all that is unused.
   int64_t label_missing = 0;
