Dispatch: Clear lint findings of the tests of planned starts

The linter reports a multiplication in int and a const member without an initializer. Both are changed, without an effect on what is checked. The tests were not built again after this change.

--- a/packages/dispatch/tests/placement_load_test.cc
+++ b/packages/dispatch/tests/placement_load_test.cc
@@ -180,7 +180,8 @@
     CHECK(after.plan_visits - before.plan_visits <=
           kMaximumSearches * kWorkers);
     // One for each size: the large ones come first.
-    CHECK(after.worker_ratings - before.worker_ratings <= 200 * kWorkers);
+    CHECK(after.worker_ratings - before.worker_ratings <=
+          uint64_t{200} * kWorkers);
     now_ += Milliseconds(80);
   }
   LONGS_EQUAL(kWorkers / 10, dispatcher_.counters().starts_planned);
--- a/packages/dispatch/tests/planned_start_test.cc
+++ b/packages/dispatch/tests/planned_start_test.cc
@@ -112,7 +112,7 @@
 // A worker with a run that ends when the planned start is due, and some room.
 TEST_GROUP(Backfill) {
   const WorkerSelector selector_{WorkerSelector::Options{}};
-  const LatencyInterferenceModel model_;
+  LatencyInterferenceModel model_;
   QueuedJob job_;
   JobStep running_;
   JobStep step_;
