CMake: Let checkouts share compiled tests in the compiler cache

Every test was compiled with the path of its checkout, so that the compiler cache never had it for another one: a second checkout of the same commit compiled all tests again. The other tests see the same code as before; the tests of queue and operator pass after the change.

--- a/cmake/BramleyrailPackage.cmake
+++ b/cmake/BramleyrailPackage.cmake
@@ -88,8 +88,15 @@
     add_executable(${name}_tests ${tests} ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
     target_link_libraries(${name}_tests PRIVATE ${library} ${fake_dependencies}
       rapidcheck PkgConfig::CPPUTEST)
-    target_compile_definitions(${name}_tests PRIVATE
-      BRAMLEYRAIL_SOURCE_FOLDER="${PROJECT_SOURCE_DIR}")
+    # The definition differs between checkouts, and the compiler cache would not
+    # share the other tests between them.
+    foreach(test ${tests})
+      file(STRINGS ${test} uses REGEX "BRAMLEYRAIL_SOURCE_FOLDER")
+      if(uses)
+        set_property(SOURCE ${test} APPEND PROPERTY COMPILE_DEFINITIONS
+          BRAMLEYRAIL_SOURCE_FOLDER="${PROJECT_SOURCE_DIR}")
+      endif()
+    endforeach()
     bramleyrail_known_failures(${name} known_failures)
     add_test(NAME ${name} COMMAND ${name}_tests ${known_failures})
     set_tests_properties(${name} PROPERTIES
