HTTP, Peer, bramleyraild: Bound the memory that clients can take

Clients outside the published limits ended a process: it ran out of memory. The read loop of Boost.Beast bounds the header and the body of a message and goes on reading a chunk extension or a trailer section until it ends, and nothing bounded all connections together: unfinished bodies, requests that a gateway holds, unfinished frames of peers, responses that nobody reads. A gateway took 2,000 connections on each listener, whatever its machine allows.

ServerConnection reads by itself and charges every byte that it keeps, by part of the message, to one ConnectionMemory that all HTTP listeners of a process share. Without room, the connections whose clients were silent for longest in the middle of a message or a response are closed, then requests are refused with 503; those in progress are kept. MemoryBudget divides the new setting maximum_memory_mb at the start. Accepted peer connections and relayed requests have parts of their own. Header and body have times of their own. Trailer fields no longer count as header fields. Each limit has a counter, a line in docs/settings.md, and event 9010.

client_memory_tests plays small crowds against real processes, each on a machine of 128 MB and 512 descriptors.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -6,6 +6,8 @@
 #include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/control_network.h"
 #include "packages/bramleyraild/descriptor_budget.h"
+#include "packages/bramleyraild/memory_budget.h"
+#include "packages/bramleyraild/relayed_memory.h"
 #include "packages/bramleyraild/role_instance.h"
 #include "packages/bramleyraild/role_metrics.h"
 
@@ -32,9 +34,14 @@
  public:
   ControlInstance(RoleSettings settings,
                   DescriptorBudget descriptors,
+                  MemoryBudget memory,
                   PlatformHooks hooks)
       : settings_(std::move(settings)),
         descriptors_(descriptors),
+        memory_(memory),
+        relayed_memory_(memory.relayed),
+        connection_memory_(
+            std::make_shared<ConnectionMemory>(memory.connections)),
         hooks_(std::move(hooks)),
         own_name_(ControlInstanceName(settings_.address)),
         loop_(IoLoop::Create()),
@@ -59,7 +66,8 @@
   }
 
   Result<void> Start() {
-    TRY(network, ControlNetwork::Create(settings_, descriptors_.peers));
+    TRY(network,
+        ControlNetwork::Create(settings_, descriptors_.peers, memory_.peers));
     network_ = std::move(network);
     TRY(CreateQueue());
     CreateService();
@@ -73,14 +81,16 @@
     TRY(control, AsyncHttpServer::Create(
                      loop_.get(),
                      {.address = settings_.control_address,
-                      .maximum_connections = descriptors_.server},
+                      .maximum_connections = descriptors_.server,
+                      .memory = connection_memory_},
                      [this](HttpRequest request, HttpResponder respond) {
                        HandleControl(std::move(request), std::move(respond));
                      }));
     control_ = std::move(control);
     if (settings_.metrics_port != 0) {
-      TRY(metrics, StartMetricsServer(loop_.get(), settings_,
-                                      [this] { return Metrics(); }));
+      TRY(metrics,
+          StartMetricsServer(loop_.get(), settings_, connection_memory_,
+                             [this] { return Metrics(); }));
       metrics_ = std::move(metrics);
     }
     BindPeerChannels();
@@ -176,14 +186,28 @@
         PeerChannel::kControl,
         [this](std::string_view, std::span<const std::byte> payload,
                PeerAnswer answer) {
+          const std::shared_ptr<void> room =
+              relayed_memory_.Take(payload.size());
+          if (room == nullptr) {
+            answer(EncodeRelayed(RelayedResponse{
+                .status = 503,
+                .retry_after_s = 1,
+                .body = R"({"error":"too much is in progress; the request )"
+                        R"(was not executed"})"}));
+            return;
+          }
           auto request = DecodeRelayedRequest(payload);
           if (!request) {
             answer(request.error());
             return;
           }
           loop_->Post([this, request = std::move(request).value(),
-                       answer = std::move(answer)]() mutable {
-            HandleRelayed(std::move(request), std::move(answer));
+                       answer = std::move(answer), room]() mutable {
+            HandleRelayed(std::move(request),
+                          [answer = std::move(answer),
+                           room](const Result<std::vector<std::byte>>& result) {
+                            answer(result);
+                          });
           });
         });
   }
@@ -269,6 +293,16 @@
         {"control_connections_limit",
          {},
          static_cast<double>(descriptors_.server)}};
+    AppendMemory(*connection_memory_, memory_, network_->network(), &samples);
+    samples.push_back({"relayed_memory_bytes",
+                       {},
+                       static_cast<double>(relayed_memory_.used())});
+    samples.push_back({"relayed_memory_limit_bytes",
+                       {},
+                       static_cast<double>(relayed_memory_.limit())});
+    samples.push_back({"relayed_requests_refused_total",
+                       {},
+                       static_cast<double>(relayed_memory_.refused())});
     AppendClient("worker", orders_, descriptors_.orders, &samples);
     AppendClient("renewal", renewals_, descriptors_.renewals, &samples);
     const size_t jobs = queue_->Read(
@@ -319,6 +353,9 @@
 
   const RoleSettings settings_;
   const DescriptorBudget descriptors_;
+  const MemoryBudget memory_;
+  RelayedMemory relayed_memory_;
+  const std::shared_ptr<ConnectionMemory> connection_memory_;
   const PlatformHooks hooks_;
   const std::string own_name_;
   const std::unique_ptr<IoLoop> loop_;
@@ -349,8 +386,10 @@
                                  {"server", descriptors.server},
                                  {"renewals", descriptors.renewals},
                                  {"orders", descriptors.orders}});
+  TRY(memory, MemoryBudget::Create(settings.role,
+                                   UsableMemoryMb(settings.maximum_memory_mb)));
   auto instance = std::make_unique<ControlInstance>(
-      std::move(settings), descriptors, std::move(hooks));
+      std::move(settings), descriptors, memory, std::move(hooks));
   TRY(instance->Start());
   return std::unique_ptr<RoleInstance>(std::move(instance));
 }
--- a/packages/bramleyraild/control_network.cc
+++ b/packages/bramleyraild/control_network.cc
@@ -36,7 +36,8 @@
 
 Result<std::unique_ptr<ControlNetwork>> ControlNetwork::Create(
     const RoleSettings& settings,
-    size_t maximum_accepted_connections) {
+    size_t maximum_accepted_connections,
+    size_t maximum_kept_bytes) {
   std::unique_ptr<ControlNetwork> network(new ControlNetwork(settings));
   ControlNetwork* self = network.get();
   PeerNetwork::Options options;
@@ -44,6 +45,7 @@
   options.self = {self->own_name_, settings.failure_domain, settings.region};
   options.listen_address = {settings.address, self->port_};
   options.maximum_accepted_connections = maximum_accepted_connections;
+  options.maximum_kept_bytes = maximum_kept_bytes;
   {
     absl::MutexLock lock(&self->mutex_);
     const ControlMembers::Change change =
--- a/packages/bramleyraild/control_network.h
+++ b/packages/bramleyraild/control_network.h
@@ -26,7 +26,8 @@
  public:
   static Result<std::unique_ptr<ControlNetwork>> Create(
       const RoleSettings& settings,
-      size_t maximum_accepted_connections);
+      size_t maximum_accepted_connections,
+      size_t maximum_kept_bytes);
 
   PeerNetwork& network() { return *network_; }
   // Names of the other control instances that are known.
--- a/packages/bramleyraild/descriptor_budget.cc
+++ b/packages/bramleyraild/descriptor_budget.cc
@@ -23,9 +23,12 @@
 constexpr int64_t kServerPercent = 14;
 constexpr int64_t kRenewalsPercent = 28;
 
-}  // namespace
+// Only control instances dial a gateway.
+constexpr int64_t kGatewayPeers = 64;
+// More callers than this would only wait for the processor.
+constexpr int64_t kMaximumCallers = 2'000;
 
-Result<DescriptorBudget> DescriptorBudget::Create(int64_t maximum_descriptors) {
+Result<void> CheckMinimum(int64_t maximum_descriptors) {
   if (maximum_descriptors < kMinimumDescriptors) {
     return MakeInvalidArgument(
         "the process may open too few descriptors",
@@ -34,6 +37,13 @@
                        maximum_descriptors,
                        "; the limit of the machine (ulimit -n) counts too")}});
   }
+  return Success();
+}
+
+}  // namespace
+
+Result<DescriptorBudget> DescriptorBudget::Create(int64_t maximum_descriptors) {
+  TRY(CheckMinimum(maximum_descriptors));
   const int64_t rest = maximum_descriptors - kReservedDescriptors;
   DescriptorBudget budget;
   budget.peers = static_cast<size_t>(rest * kPeersPercent / 100);
@@ -44,6 +54,17 @@
   return budget;
 }
 
+Result<DescriptorBudget> DescriptorBudget::CreateForGateway(
+    int64_t maximum_descriptors) {
+  TRY(CheckMinimum(maximum_descriptors));
+  const int64_t rest = maximum_descriptors - kReservedDescriptors -
+                       kGatewayPeers - static_cast<int64_t>(kReadyConnections) -
+                       static_cast<int64_t>(kMetricsConnections);
+  return DescriptorBudget{
+      .peers = static_cast<size_t>(kGatewayPeers),
+      .server = static_cast<size_t>(std::min(rest, kMaximumCallers))};
+}
+
 int64_t UsableDescriptors(int64_t configured) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
--- a/packages/bramleyraild/gateway_instance.cc
+++ b/packages/bramleyraild/gateway_instance.cc
@@ -5,7 +5,9 @@
 
 #include "packages/bramleyraild/bramleyraild_events.h"
 #include "packages/bramleyraild/control_network.h"
+#include "packages/bramleyraild/descriptor_budget.h"
 #include "packages/bramleyraild/member_poll.h"
+#include "packages/bramleyraild/memory_budget.h"
 #include "packages/bramleyraild/role_instance.h"
 #include "packages/bramleyraild/role_metrics.h"
 
@@ -22,8 +24,6 @@
 // new connections elsewhere.
 constexpr Milliseconds kLeaveRotation{2'500};
 constexpr Milliseconds kStopPoll{20};
-// Only control instances dial a gateway.
-constexpr size_t kMaximumPeers = 64;
 // Without an answer of a leader for this long, all known control instances may
 // have been replaced, and the settings file may list the new ones. An election
 // takes up to 2 s.
@@ -33,9 +33,16 @@
 
 class GatewayInstance final : public RoleInstance {
  public:
-  GatewayInstance(RoleSettings settings, PlatformHooks hooks)
+  GatewayInstance(RoleSettings settings,
+                  DescriptorBudget descriptors,
+                  MemoryBudget memory,
+                  PlatformHooks hooks)
       : settings_(std::move(settings)),
+        descriptors_(descriptors),
+        memory_(memory),
         hooks_(std::move(hooks)),
+        connection_memory_(
+            std::make_shared<ConnectionMemory>(memory.connections)),
         loop_(IoLoop::Create()) {}
 
   ~GatewayInstance() override {
@@ -49,24 +56,32 @@
   }
 
   Result<void> Start() {
-    TRY(network, ControlNetwork::Create(settings_, kMaximumPeers));
+    TRY(network,
+        ControlNetwork::Create(settings_, descriptors_.peers, memory_.peers));
     network_ = std::move(network);
     relay_ = std::make_unique<LeaderRelay>(
         loop_.get(), network_->RelayOptions(RelayOrigin::kCaller));
     poll_ = std::make_unique<MemberPoll>(loop_.get(), PollOptions());
     TRY(callers, AsyncHttpServer::Create(
-                     loop_.get(), {.address = settings_.caller_address},
+                     loop_.get(),
+                     {.address = settings_.caller_address,
+                      .maximum_connections = descriptors_.server,
+                      .memory = connection_memory_},
                      [this](HttpRequest request, HttpResponder respond) {
                        Forward(std::move(request), std::move(respond));
                      }));
     callers_ = std::move(callers);
     TRY(ready, AsyncHttpServer::Create(
-                   loop_.get(), {.address = settings_.ready_address},
+                   loop_.get(),
+                   {.address = settings_.ready_address,
+                    .maximum_connections = kReadyConnections,
+                    .memory = connection_memory_},
                    hooks_.ready_handler([this] { return IsReady(); })));
     ready_ = std::move(ready);
     if (settings_.metrics_port != 0) {
-      TRY(metrics, StartMetricsServer(loop_.get(), settings_,
-                                      [this] { return Metrics(); }));
+      TRY(metrics,
+          StartMetricsServer(loop_.get(), settings_, connection_memory_,
+                             [this] { return Metrics(); }));
       metrics_ = std::move(metrics);
     }
     TRY(network_->network().Start());
@@ -157,11 +172,15 @@
         {"gateway_open_requests", {}, static_cast<double>(open_.load())},
         {"ready", {}, IsReady() ? 1.0 : 0.0}};
     latency_.AppendSamples("gateway_latency_ms", &samples);
+    AppendMemory(*connection_memory_, memory_, network_->network(), &samples);
     return samples;
   }
 
   const RoleSettings settings_;
+  const DescriptorBudget descriptors_;
+  const MemoryBudget memory_;
   const PlatformHooks hooks_;
+  const std::shared_ptr<ConnectionMemory> connection_memory_;
   const std::unique_ptr<IoLoop> loop_;
   std::unique_ptr<ControlNetwork> network_;
   std::unique_ptr<LeaderRelay> relay_;
@@ -181,8 +200,12 @@
 Result<std::unique_ptr<RoleInstance>> StartGatewayInstance(
     RoleSettings settings,
     PlatformHooks hooks) {
-  auto instance =
-      std::make_unique<GatewayInstance>(std::move(settings), std::move(hooks));
+  TRY(descriptors, DescriptorBudget::CreateForGateway(
+                       UsableDescriptors(settings.maximum_descriptors)));
+  TRY(memory, MemoryBudget::Create(settings.role,
+                                   UsableMemoryMb(settings.maximum_memory_mb)));
+  auto instance = std::make_unique<GatewayInstance>(
+      std::move(settings), descriptors, memory, std::move(hooks));
   TRY(instance->Start());
   return std::unique_ptr<RoleInstance>(std::move(instance));
 }
--- a/packages/bramleyraild/role_settings.cc
+++ b/packages/bramleyraild/role_settings.cc
@@ -19,6 +19,8 @@
 constexpr JsonReader::IntegerRange kToleratedRange{.minimum = 0, .maximum = 4};
 constexpr JsonReader::IntegerRange kDescriptorRange{.minimum = 512,
                                                     .maximum = 1'000'000};
+constexpr JsonReader::IntegerRange kMemoryRange{.minimum = 128,
+                                                .maximum = 1'000'000};
 constexpr JsonReader::IntegerRange kDurationRange{.minimum = 1,
                                                   .maximum = 3'600'000};
 
@@ -169,6 +171,9 @@
       reader
           .Integer("maximum_descriptors", Presence::kOptional, kDescriptorRange)
           .value_or(settings.maximum_descriptors);
+  settings.maximum_memory_mb =
+      reader.Integer("maximum_memory_mb", Presence::kOptional, kMemoryRange)
+          .value_or(settings.maximum_memory_mb);
   settings.log.stream = LogStream::kStandardOutput;
   reader.RefuseUnknownFields();
   if (!faults.empty()) {
--- a/packages/bramleyraild/role_settings.h
+++ b/packages/bramleyraild/role_settings.h
@@ -42,6 +42,8 @@
   int64_t tolerated_losses = 1;
   // Descriptors that the process may open; 0: as many as the machine allows.
   int64_t maximum_descriptors = 0;
+  // Memory that the process may use; 0: as much as the machine has.
+  int64_t maximum_memory_mb = 0;
   LogOptions log;
 };
 
--- a/packages/bramleyraild/tests/descriptor_budget_test.cc
+++ b/packages/bramleyraild/tests/descriptor_budget_test.cc
@@ -35,6 +35,22 @@
   }
 }
 
+// Guards against callers of a gateway that take the descriptors of its links to
+// control instances: it took 2,000 connections whatever its machine had.
+TEST(DescriptorBudget, CallersOfAGatewayLeaveDescriptorsToItsOtherParts) {
+  for (const int64_t descriptors : {512, 1'024, 4'100, 100'000}) {
+    const auto budget = DescriptorBudget::CreateForGateway(descriptors);
+    CHECK(budget.has_value());
+    const auto& [peers, server, renewals, orders] = budget.value();
+    CHECK(server >= 100);
+    CHECK(static_cast<int64_t>(server + peers + kReadyConnections +
+                               kMetricsConnections) +
+              200 <
+          descriptors);
+  }
+  CHECK(!DescriptorBudget::CreateForGateway(511));
+}
+
 TEST(DescriptorBudget, TooFewDescriptorsAreRefusedWithTheLimit) {
   const auto budget = DescriptorBudget::Create(256);
   CHECK(!budget);
--- a/packages/bramleyraild/tests/role_settings_test.cc
+++ b/packages/bramleyraild/tests/role_settings_test.cc
@@ -15,7 +15,8 @@
   "ready_address": "10.1.0.13:8167", "peer_port": 7720, "metrics_port": 9464,
   "control_instances": ["10.1.0.16:8166", "10.2.0.33:8166"],
   "data_folder": "", "first_start": true, "maximum_lease_ms": 6000,
-  "stop_deadline_ms": 6000, "job_retention_ms": 120000
+  "stop_deadline_ms": 6000, "job_retention_ms": 120000,
+  "maximum_memory_mb": 160
 })";
 
 std::string With(const std::string& from, const std::string& to) {
@@ -31,6 +32,7 @@
   CHECK(settings.has_value());
   STRCMP_EQUAL("10.2.0.33", settings.value().control_instances[1].c_str());
   LONGS_EQUAL(7720, settings.value().peer_port);
+  LONGS_EQUAL(160, settings.value().maximum_memory_mb);
 }
 
 // Guards against a process that starts with settings it cannot use.
@@ -42,6 +44,7 @@
   CHECK(!ParseRoleSettings(With("\"10.1.0.13:8161\"", "\"\""), "f"));
   CHECK(!ParseRoleSettings(
       With("\"role\": \"gateway\"", "\"role\": \"control\""), "f"));
+  CHECK(!ParseRoleSettings(With("_mb\": 160", "_mb\": 100"), "f"));
 }
 
 }  // namespace
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -7,6 +7,7 @@
 #include "packages/http/async_http_client.h"
 #include "packages/http/async_http_server.h"
 #include "packages/http/bounded_task_queue.h"
+#include "packages/http/connection_memory.h"
 #include "packages/http/exclusive_port.h"
 #include "packages/http/http_connection_pool.h"
 #include "packages/http/http_message.h"
--- a/packages/http/http_events.h
+++ b/packages/http/http_events.h
@@ -11,6 +11,8 @@
     9002, LogSeverity::kError, "http_handler_failed"};
 inline constexpr LogEventDefinition kHttpCallFailed{9003, LogSeverity::kWarning,
                                                     "http_call_failed"};
+inline constexpr LogEventDefinition kHttpLimitReached{
+    9010, LogSeverity::kWarning, "http_limit_reached"};
 
 }  // namespace bramleyrail
 
--- a/packages/peer/connection.cc
+++ b/packages/peer/connection.cc
@@ -39,6 +39,7 @@
       outbox_(std::move(outbox)),
       reader_(kMaximumHelloBytes),
       last_received_(now),
+      last_frame_(now),
       next_heartbeat_(now + kPeerHeartbeatInterval) {
   event_loop_->Watch(socket_.number(), EPOLLIN | EPOLLOUT, &ready_events_);
 }
@@ -102,7 +103,8 @@
     CountReceived(static_cast<uint64_t>(count), now);
     TRY(reader_.Feed(
         buffer.first(static_cast<size_t>(count)),
-        [&handler](std::span<const std::byte> body) -> Result<void> {
+        [this, now, &handler](std::span<const std::byte> body) -> Result<void> {
+          last_frame_ = now;
           TRY(envelope, ReadEnvelope(body));
           return handler(*envelope);
         }));
@@ -138,6 +140,10 @@
   return Success();
 }
 
+size_t Connection::kept_bytes() const {
+  return reader_.kept_bytes() + outbox_->queued_bytes();
+}
+
 void Connection::WatchWritable(bool wanted) {
   if (watches_writable_ == wanted) {
     return;
--- a/packages/peer/connection.h
+++ b/packages/peer/connection.h
@@ -44,6 +44,11 @@
   // True once when the socket has reported that it can be written.
   bool is_writable() const;
 
+  // The frame that is being read, and the frames that wait to be written.
+  size_t kept_bytes() const;
+  // When the peer last sent a whole frame, or was accepted.
+  MonotonicTime last_frame() const { return last_frame_; }
+
   const FileDescriptor& socket() const { return socket_; }
 
  private:
@@ -59,6 +64,7 @@
   uint32_t ready_events_ = 0;
   bool watches_writable_ = true;
   MonotonicTime last_received_;
+  MonotonicTime last_frame_;
   MonotonicTime next_heartbeat_;
   PeerRecord* peer_ = nullptr;  // Set once the hello was accepted.
   uint64_t sent_before_hello_ = 0;
--- a/packages/peer/frame_reader.h
+++ b/packages/peer/frame_reader.h
@@ -37,6 +37,9 @@
   Result<void> Feed(std::span<const std::byte> data,
                     const BodyHandler& handler);
 
+  // What an unfinished body takes.
+  size_t kept_bytes() const { return body_.empty() ? 0 : body_.capacity(); }
+
  private:
   Result<void> ReadHeader();
   Result<void> FinishBody(const BodyHandler& handler);
--- a/packages/peer/incoming_link.cc
+++ b/packages/peer/incoming_link.cc
@@ -62,6 +62,13 @@
                   "the peer has dialled a newer connection", ""));
 }
 
+void IncomingLink::Reclaim() {
+  Close(MakeError(ErrorKind::kResourceExhausted,
+                  "the accepted connections keep too much",
+                  "check which peer neither ends its frames nor reads its "
+                  "answers"));
+}
+
 Result<void> IncomingLink::HandleEnvelope(const peer_wire::Envelope& envelope,
                                           MonotonicTime now) {
   if (peer_ == nullptr) {
--- a/packages/peer/incoming_link.h
+++ b/packages/peer/incoming_link.h
@@ -37,8 +37,16 @@
   void Shutdown(const Error& reason);
   // Closes because the peer has dialled a newer connection.
   void Replace();
+  // Closes to make room for other connections.
+  void Reclaim();
 
   bool is_closed() const { return connection_ == nullptr; }
+  // What the connection makes the process keep.
+  size_t kept_bytes() const {
+    return is_closed() ? 0 : connection_->kept_bytes();
+  }
+  // When the peer last sent a whole frame. Not for a closed link.
+  MonotonicTime last_frame() const { return connection_->last_frame(); }
   // Null until the hello was accepted.
   const PeerRecord* peer() const { return peer_; }
 
--- a/packages/peer/outbox.h
+++ b/packages/peer/outbox.h
@@ -3,6 +3,7 @@
 
 #include <sys/uio.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -67,6 +68,8 @@
   bool open() const;
   bool empty() const;
   bool overflowed() const;
+  // From any thread, without the lock.
+  size_t queued_bytes() const { return queued_bytes_; }
 
  private:
   struct QueuedFrame {
@@ -90,7 +93,8 @@
   bool open_ ABSL_GUARDED_BY(mutex_) = false;
   bool overflowed_ ABSL_GUARDED_BY(mutex_) = false;
   std::deque<QueuedFrame> queue_ ABSL_GUARDED_BY(mutex_);
-  size_t queued_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
+  // Changed under the lock only.
+  std::atomic<size_t> queued_bytes_ = 0;
   size_t front_written_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::flat_hash_map<uint64_t, PendingCall> calls_ ABSL_GUARDED_BY(mutex_);
   std::set<std::pair<MonotonicTime, uint64_t>> deadlines_
--- a/packages/peer/peer_loop.cc
+++ b/packages/peer/peer_loop.cc
@@ -170,9 +170,21 @@
 }
 
 void PeerLoop::AdvanceIncoming(MonotonicTime now) {
+  size_t kept = 0;
   for (const auto& link : incoming_) {
+    kept += link->kept_bytes();
+  }
+  for (const auto& link : incoming_) {
+    if (link->is_closed()) {
+      continue;  // Closed in this turn, to make room.
+    }
     const PeerRecord* peer_before = link->peer();
+    kept -= link->kept_bytes();
     link->Advance(now);
+    kept += link->kept_bytes();
+    if (kept > options_.maximum_kept_bytes) {
+      kept = ReclaimIncoming();
+    }
     const PeerRecord* peer = link->peer();
     if (peer == peer_before || link->is_closed()) {
       continue;
@@ -187,6 +199,30 @@
   RemoveClosedIncoming();
 }
 
+size_t PeerLoop::ReclaimIncoming() {
+  std::vector<IncomingLink*> links;
+  size_t kept = 0;
+  for (const auto& link : incoming_) {
+    if (link->kept_bytes() > 0) {
+      links.push_back(link.get());
+      kept += link->kept_bytes();
+    }
+  }
+  std::sort(links.begin(), links.end(),
+            [](const IncomingLink* a, const IncomingLink* b) {
+              return a->last_frame() < b->last_frame();
+            });
+  for (IncomingLink* link : links) {
+    if (kept <= options_.maximum_kept_bytes) {
+      break;
+    }
+    kept -= link->kept_bytes();
+    link->Reclaim();
+    ++reclaimed_connections_;
+  }
+  return kept;
+}
+
 void PeerLoop::RemoveClosedIncoming() {
   std::erase_if(incoming_, [](const auto& link) { return link->is_closed(); });
 }
--- a/packages/peer/peer_loop.h
+++ b/packages/peer/peer_loop.h
@@ -51,6 +51,7 @@
   void RemovePeer(std::string_view name);
   std::vector<PeerStatus> Statuses() const;
   uint16_t listen_port() const { return listen_port_; }
+  uint64_t reclaimed_connections() const { return reclaimed_connections_; }
   bool is_started() const { return thread_.joinable(); }
 
  private:
@@ -62,6 +63,9 @@
   void Run();
   void AcceptConnections(MonotonicTime now);
   void AdvanceIncoming(MonotonicTime now);
+  // Closes connections until the others keep what they may; returns how much
+  // that is.
+  size_t ReclaimIncoming();
   void RemoveClosedIncoming();
   MonotonicTime NextDeadline(MonotonicTime now) const;
   void Shutdown();
@@ -90,6 +94,7 @@
   std::vector<std::shared_ptr<PeerRecord>> peers_;
   std::map<std::string, std::shared_ptr<OutgoingLink>, std::less<>> outgoing_;
   std::vector<std::unique_ptr<IncomingLink>> incoming_;
+  std::atomic<uint64_t> reclaimed_connections_ = 0;
   std::atomic<bool> stopping_ = false;
   std::thread thread_;
   absl::Mutex mutex_;
--- a/packages/peer/peer_network.cc
+++ b/packages/peer/peer_network.cc
@@ -119,6 +119,10 @@
   return loop_->Statuses();
 }
 
+uint64_t PeerNetwork::ReclaimedConnections() const {
+  return loop_->reclaimed_connections();
+}
+
 uint16_t PeerNetwork::ListenPort() const {
   return loop_->listen_port();
 }
--- a/packages/peer/peer_network.h
+++ b/packages/peer/peer_network.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -33,6 +34,10 @@
     std::vector<PeerAddress> peers;  // Without the instance itself.
     // Accepted connections, including those that have not sent a hello yet.
     size_t maximum_accepted_connections = 256;
+    // What all accepted connections keep: unfinished frames, and answers that
+    // wait to be written. Beyond it, those that sent no whole frame for longest
+    // are closed.
+    size_t maximum_kept_bytes = std::numeric_limits<size_t>::max();
     // Decides on an instance that says hello and is not among the peers:
     // nullopt refuses it; an address without a port accepts its calls only; any
     // other address is dialled as that of a peer from then on. Runs on the
@@ -83,6 +88,8 @@
 
   std::vector<PeerStatus> Statuses() const;
   uint16_t ListenPort() const;
+  // Connections that were closed because of `maximum_kept_bytes`.
+  uint64_t ReclaimedConnections() const;
 
  private:
   explicit PeerNetwork(std::unique_ptr<PeerLoop> loop);
--- a/packages/peer/tests/peer_link_test.cc
+++ b/packages/peer/tests/peer_link_test.cc
@@ -9,10 +9,12 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "packages/peer/envelope.h"
 #include "packages/peer/fakes/call_log.h"
 #include "packages/peer/fakes/held_answers.h"
 #include "packages/peer/fakes/peer_pair.h"
+#include "packages/peer/frame_reader.h"
 #include "packages/peer/peer_limits.h"
 #include "packages/peer/socket.h"
 
@@ -131,6 +133,43 @@
         std::optional<size_t>(0));
 }
 
+// Guards against strangers whose frames never end: the process kept them all,
+// and it crashed when it had closed a connection that it advanced afterwards.
+TEST(PeerLink, UnfinishedFramesAreBoundedTogether) {
+  constexpr size_t kStrangers = 12;
+  constexpr size_t kFrameBytes = 100'000;
+  PeerNetwork::Options options;
+  options.cluster_id = "cluster";
+  options.self = {"alpha", "s", "s"};
+  options.listen_address = {"127.0.0.1", 0};
+  options.maximum_kept_bytes = 2 * kFrameBytes;
+  options.admit_unknown = [](std::string_view) { return SocketAddress{}; };
+  const auto network = PeerNetwork::Create(std::move(options)).value();
+  CHECK(network->Start().has_value());
+  std::vector<FileDescriptor> strangers;
+  for (size_t stranger = 0; stranger < kStrangers; ++stranger) {
+    strangers.push_back(
+        StartDial({"127.0.0.1", network->ListenPort()}, {"127.0.0.1", 0})
+            .value());
+    std::vector<std::byte> bytes =
+        EncodeHello("cluster", {absl::StrCat("stranger-", stranger), "s", "s"});
+    std::vector<std::byte> frame =
+        EncodeFrame(std::vector<std::byte>(kFrameBytes));
+    frame.pop_back();
+    bytes.insert(bytes.end(), frame.begin(), frame.end());
+    size_t sent = 0;
+    CHECK(WaitUntil([&] {
+      const ssize_t count = send(strangers.back().number(), bytes.data() + sent,
+                                 bytes.size() - sent, MSG_NOSIGNAL);
+      sent += count > 0 ? static_cast<size_t>(count) : 0;
+      return sent == bytes.size();
+    }));
+  }
+  CHECK(WaitUntil(
+      [&] { return network->ReclaimedConnections() >= kStrangers - 2; }));
+  network->Stop();
+}
+
 // Guards against a queue that grows without limit behind a peer that does not
 // read, and against calls that wait in it in vain.
 TEST(PeerLink, FullQueueDropsMessagesAndRefusesCalls) {
