Dispatch, Control: Admit long-running jobs by the need of short work

Long-running jobs were accepted until they reserved nearly all processors, and short tasks of the same priority waited for up to 16 s.

The leader now measures what the short work of each pool and priority needs in peaks (ShortWorkHistory, ShortWorkDemand), and tries out whether a long-running job that is handed in leaves room for it in the sizes of its tasks (PoolRoom, LongRunningAdmission). A job that does not is answered 429 with a Retry-After from the rate at which long-running jobs end, before it is stored. Long-running tasks start where they take the fewest processors that short tasks can use. Without short work, every job is admitted.

A resend of a job that is stored or whose outcome is unknown is never rejected. A relayed request that an earlier attempt may have executed is answered 504 instead of 429.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -315,6 +315,10 @@
     add("dispatcher_runs_lost_total", counters.runs_lost);
     add("dispatcher_looks_total", counters.lease_renewals);
     add("dispatcher_paces_total", counters.cpu_limit_orders);
+    add("dispatcher_long_running_admitted_total",
+        counters.long_running_admitted);
+    add("dispatcher_long_running_rejected_total",
+        counters.long_running_rejected);
   }
 
   const RoleSettings settings_;
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -106,7 +106,7 @@
 
 void ControlService::Submit(const QueuePath& path,
                             JobSpecification job,
-                            Callback<void> callback) {
+                            Callback<SubmitAnswer> callback) {
   const auto location = FindQueueLocation(path);
   if (!IsLeaderNow() || !location) {
     callback(location ? NotLeading() : location.error());
@@ -130,6 +130,16 @@
   command.stretch_factor = queue.stretch_factor;
   command.target_latency_ms = queue.target_latency_ms;
   command.specification = std::move(job);
+  const AdmissionDecision decision = dispatch_->Admit(command);
+  if (!decision.admitted) {
+    // A newer leader may have accepted the job meanwhile.
+    if (!IsLeaderNow()) {
+      callback(NotLeading());
+      return;
+    }
+    callback(SubmitAnswer{.retry_after = decision.retry_after});
+    return;
+  }
   const std::string id = command.id;
   const auto log = [id,
                     name = queue.name](const Result<QueueOutcome>& outcome) {
@@ -143,7 +153,20 @@
                                  {"error", outcome.error().ToString()}});
     }
   };
-  Propose(std::move(command), Acknowledge(log, std::move(callback)));
+  Propose(
+      std::move(command),
+      [this, id, log, leader_epoch = dispatch_->dispatcher()->leader_epoch(),
+       callback = std::move(callback)](const Result<QueueOutcome>& outcome) {
+        log(outcome);
+        if (outcome) {
+          callback(SubmitAnswer());
+          return;
+        }
+        if (outcome.error().kind == ErrorKind::kUnavailable) {
+          dispatch_->WithdrawAdmission(id, leader_epoch);
+        }
+        callback(outcome.error());
+      });
 }
 
 void ControlService::ReadJob(
--- a/packages/control/control_service.h
+++ b/packages/control/control_service.h
@@ -20,6 +20,13 @@
 // State of a job as reported to its submitter.
 enum class JobStatus { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
+// Answer to a submitted job.
+struct SubmitAnswer {
+  // Set when the job was rejected for want of room and is not stored: when the
+  // caller may submit it again.
+  std::optional<Milliseconds> retry_after;
+};
+
 // Contents of a worker's heartbeat.
 struct WorkerHeartbeat {
   WorkerRegistration registration;
@@ -57,7 +64,7 @@
   // the job.
   void Submit(const QueuePath& path,
               JobSpecification job,
-              Callback<void> callback);
+              Callback<SubmitAnswer> callback);
   // Passes nullopt when the job is unknown.
   void ReadJob(const QueuePath& path,
                const Callback<std::optional<JobStatus>>& callback);
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -394,6 +394,19 @@
       [](const Result<QueueOutcome>&) {});
 }
 
+AdmissionDecision DispatchLoop::Admit(const SubmitJob& job) {
+  return queue_->Read([&](const QueueState& state) {
+    return dispatcher_->Admit(state, job, options_.clock());
+  });
+}
+
+void DispatchLoop::WithdrawAdmission(const std::string& id,
+                                     int64_t leader_epoch) {
+  if (StillLeads(leader_epoch)) {
+    dispatcher_->admission().Withdraw(id);
+  }
+}
+
 void DispatchLoop::ObserveClock(const std::string& worker,
                                 int64_t started_unix_ms,
                                 int64_t clock_ms) {
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -58,6 +58,10 @@
   void ObserveClock(const std::string& worker,
                     int64_t started_unix_ms,
                     int64_t clock_ms);
+  // Decide about a job that is handed in while this instance leads. An admitted
+  // job whose proposal has certainly failed is withdrawn.
+  AdmissionDecision Admit(const SubmitJob& job);
+  void WithdrawAdmission(const std::string& id, int64_t leader_epoch);
   // Sets a function that runs after this instance has taken over or lost the
   // leadership.
   void SetLeadershipHook(std::function<void(bool leads)> hook) {
--- a/packages/control/leader_relay.cc
+++ b/packages/control/leader_relay.cc
@@ -25,6 +25,7 @@
 constexpr int64_t kRetryAfterSeconds = 1;
 
 // HTTP status codes.
+constexpr int kStatusRejected = 429;
 constexpr int kStatusNotExecuted = 503;
 constexpr int kStatusOutcomeUnknown = 504;
 
@@ -32,6 +33,12 @@
   return std::chrono::steady_clock::now();
 }
 
+HttpResponse OutcomeUnknown() {
+  return {
+      .status = kStatusOutcomeUnknown,
+      .body = R"({"error":"the outcome is not known; repeat the request"})"};
+}
+
 }  // namespace
 
 struct LeaderRelay::Exchange {
@@ -166,6 +173,13 @@
     return;
   }
   leader_ = peer;
+  if (relayed.status == kStatusRejected && exchange->maybe_executed) {
+    // An earlier attempt may still arrive and be accepted, so the caller must
+    // not be told that the request never takes effect.
+    ++counters_.outcome_unknown;
+    exchange->respond(OutcomeUnknown());
+    return;
+  }
   ++counters_.responses;
   exchange->respond(FromRelayed(std::move(relayed)));
 }
@@ -183,18 +197,16 @@
        {"outcome", unknown ? std::string_view("unknown")
                            : std::string_view("not_executed")},
        {"last_error", exchange->last_error}});
-  HttpResponse response;
   if (unknown) {
-    response.status = kStatusOutcomeUnknown;
-    response.body =
-        R"({"error":"the outcome is not known; repeat the request"})";
-  } else {
-    response.status = kStatusNotExecuted;
-    response.body =
-        R"({"error":"no leader is available; the request was not executed"})";
-    response.headers.emplace_back("Retry-After",
-                                  absl::StrCat(kRetryAfterSeconds));
+    exchange->respond(OutcomeUnknown());
+    return;
   }
+  HttpResponse response;
+  response.status = kStatusNotExecuted;
+  response.body =
+      R"({"error":"no leader is available; the request was not executed"})";
+  response.headers.emplace_back("Retry-After",
+                                absl::StrCat(kRetryAfterSeconds));
   exchange->respond(std::move(response));
 }
 
--- a/packages/control/tests/leader_relay_test.cc
+++ b/packages/control/tests/leader_relay_test.cc
@@ -87,6 +87,26 @@
   CHECK(!FindHeader(response.headers, "Retry-After").empty());
 }
 
+// REFUSED: fails when a request is reported as rejected although an earlier
+// attempt may still arrive and be accepted.
+TEST(LeaderRelay, RejectionAfterAnUnansweredAttemptLeavesTheOutcomeUnknown) {
+  RelayedExchange exchange(
+      {RelayedExchange::NoResponse(), RelayedExchange::Status(429)});
+  LONGS_EQUAL(504, exchange.Run(kLimit).status);
+}
+
+// Fails when the relay retries a rejected request, or drops the time after
+// which its caller may come back.
+TEST(LeaderRelay, RejectionReachesTheCaller) {
+  RelayedExchange exchange(
+      {EncodeRelayed(RelayedResponse{.status = 429, .retry_after_s = 7})});
+  const HttpResponse response = exchange.Run(kLimit);
+  LONGS_EQUAL(429, response.status);
+  STRCMP_EQUAL(
+      "7", std::string(FindHeader(response.headers, "Retry-After")).c_str());
+  LONGS_EQUAL(1, exchange.attempts());
+}
+
 // Fails when an attempt with too little time for a response makes the outcome
 // of a refused request unknown.
 TEST(LeaderRelay, TooLittleTimeForAnAttemptMeansNotExecuted) {
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -57,6 +57,11 @@
 inline constexpr LogEventDefinition kUnansweredStart{9223, LogSeverity::kInfo,
                                                      "unanswered_start"};
 
+inline constexpr LogEventDefinition kLongRunningRejected{
+    9240, LogSeverity::kInfo, "long_running_rejected"};
+inline constexpr LogEventDefinition kLongRunningAdmitted{
+    9241, LogSeverity::kInfo, "long_running_admitted"};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -195,6 +195,7 @@
                          {"objective_unix_ms", tracked->ObjectiveUnixMs(0)},
                          {"new", synchronized_}});
   releases_.emplace(*tracked->NextReleaseUnixMs(), id);
+  admission_.MarkTracked(id);
   jobs_.emplace(id, std::move(tracked));
 }
 
@@ -203,6 +204,7 @@
                           MonotonicTime now) {
   LogEvent(kJobClosed, {{"job", id}, {"reason", reason}});
   const auto closed = jobs_.find(id);
+  admission_.AddEndedJob(closed->second->job(), now);
   counters_.ready_task_visits += ready_.RemoveJob(closed->second.get());
   StopRunsOfEndedJob(*closed->second, now);
   if (const auto next = closed->second->NextReleaseUnixMs()) {
@@ -235,6 +237,14 @@
   for (const TaskName& task : tasks) {
     ready_.Add(job, task, unix_ms_);
   }
+  for (auto first = tasks.begin(); first != tasks.end();) {
+    const auto next = std::find_if(first, tasks.end(), [&](const auto& task) {
+      return task.step != first->step || task.occurrence != first->occurrence;
+    });
+    admission_.short_work().AddReadyTasks(job->job(), job->step(*first),
+                                          next - first, last_step_);
+    first = next;
+  }
 }
 
 std::vector<WorkerOrder> Dispatcher::Step(const QueueState& state,
@@ -247,6 +257,7 @@
   ObserveLag(now);
   SendRecordedStarts(now);
   ReleaseDueJobs();
+  admission_.short_work().Refresh(now);
   StepWorkers(now);
   PlaceReadyTasks(state, now);
   ReportStandingTasks(now);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/long_running_admission.h"
 #include "packages/dispatch/placement_pass.h"
 #include "packages/dispatch/ready_steps.h"
 #include "packages/dispatch/standing_task.h"
@@ -97,6 +98,12 @@
                     int64_t clock_ms,
                     MonotonicTime now);
 
+  // Decides whether a job that is handed in is accepted.
+  AdmissionDecision Admit(const QueueState& state,
+                          const SubmitJob& job,
+                          MonotonicTime now);
+  LongRunningAdmission& admission() { return admission_; }
+
   // Withdrawn workers of the state that run no task any more.
   std::vector<WorkerIncarnation> EndedWithdrawals(
       const QueueState& state) const;
@@ -429,6 +436,7 @@
   const WorkerSelector selector_;
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
+  LongRunningAdmission admission_;
   TrackedWorkers workers_;
   // Ids of workers that may have crashed.
   std::set<std::string> suspected_workers_;
--- a/packages/dispatch/dispatcher_counters.h
+++ b/packages/dispatch/dispatcher_counters.h
@@ -15,6 +15,9 @@
   uint64_t runs_lost = 0;
   uint64_t lease_renewals = 0;
   uint64_t cpu_limit_orders = 0;
+  // Decisions about jobs with long-running steps that were handed in.
+  uint64_t long_running_admitted = 0;
+  uint64_t long_running_rejected = 0;
   // How often a worker was rated for a task.
   uint64_t worker_ratings = 0;
   // How often a job was looked at to follow changes of the state, and a ready
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -240,7 +240,8 @@
           waited,
           suspected,
           suspected && now - job->task(task).not_before < kMaximumIsolationWait,
-          now};
+          now,
+          admission_.FindNeed(job->job(), step)};
 }
 
 bool Dispatcher::PlaceOnFailingWorker(const EligibleWorkers& eligible,
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -214,6 +214,12 @@
       finished.outcome == RunOutcome::kDone) {
     worker->isolated_until = {};
   }
+  if (tracked != nullptr && tracked->step != nullptr &&
+      finished.outcome == RunOutcome::kDone) {
+    admission_.short_work().AddFinishedRun(
+        *tracked->job, *tracked->step,
+        std::chrono::floor<Milliseconds>(now - tracked->started), now);
+  }
   worker->RemoveRun(key);
   LogEvent(kRunEnded, {{"task", finished.task.ToString()},
                        {"run", finished.run},
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -54,13 +54,27 @@
 }
 
 void FakePool::Submit(const std::string& id, JobSpecification job) {
+  Apply(MakeSubmission(id, std::move(job)));
+}
+
+bool FakePool::HandIn(const std::string& id, JobSpecification job) {
+  SubmitJob command = MakeSubmission(id, std::move(job));
+  if (!dispatcher_->Admit(state_, command, now_).admitted) {
+    return false;
+  }
+  Apply(std::move(command));
+  return true;
+}
+
+SubmitJob FakePool::MakeSubmission(const std::string& id,
+                                   JobSpecification job) {
   SubmitJob command;
   command.id = id;
   command.queue = "queue";
   command.pool = "pool";
   command.maximum_attempts = kMaximumAttempts;
   command.specification = std::move(job);
-  Apply(std::move(command));
+  return command;
 }
 
 void FakePool::Apply(QueueCommandBody body) {
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -67,6 +67,8 @@
   explicit FakePool(Options options);
 
   void Submit(const std::string& id, JobSpecification job);
+  // Submits the job unless the leader rejects it. Returns whether it did.
+  bool HandIn(const std::string& id, JobSpecification job);
   void Apply(QueueCommandBody body);
   void RunFor(Milliseconds duration);
   bool RunUntil(const std::function<bool()>& condition, Milliseconds limit);
@@ -199,6 +201,7 @@
     LeaseRenewalResponse renewal;
   };
 
+  static SubmitJob MakeSubmission(const std::string& id, JobSpecification job);
   void Step();
   void StepDispatcher(Dispatcher* dispatcher);
   void Send(const WorkerOrder& order);
--- a/packages/dispatch/tracked_worker.cc
+++ b/packages/dispatch/tracked_worker.cc
@@ -128,6 +128,12 @@
   reserved_.accelerators += sign * run.reserved.accelerators;
   (best_effort ? best_effort_processor_millis_ : reserved_.processor_millis) +=
       sign * run.reserved.processor_millis;
+  if (run.step != nullptr && run.step->long_running) {
+    reserved_for_long_.memory_mib += sign * run.reserved.memory_mib;
+    reserved_for_long_.accelerators += sign * run.reserved.accelerators;
+    reserved_for_long_.processor_millis +=
+        best_effort ? 0 : sign * run.reserved.processor_millis;
+  }
 }
 
 int64_t TrackedWorker::CountRunsOfStep(const SharedText& job,
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -138,6 +138,10 @@
   std::map<RunKey, TrackedRun>& runs() { return runs_; }
   const std::map<RunKey, TrackedRun>& runs() const { return runs_; }
   const ResourceAmounts& reserved() const { return reserved_; }
+  // The part of `reserved` that long-running runs take.
+  const ResourceAmounts& reserved_for_long() const {
+    return reserved_for_long_;
+  }
   // Whether a run is active whose job is not open, and which therefore is not
   // part of `reserved`.
   bool HasRunOfUnknownSize() const { return runs_of_unknown_size_ > 0; }
@@ -233,6 +237,7 @@
   std::optional<MonotonicTime> assumed_until_;
   std::map<RunKey, TrackedRun> runs_;
   ResourceAmounts reserved_;
+  ResourceAmounts reserved_for_long_;
   int64_t runs_of_unknown_size_ = 0;
   int64_t best_effort_processor_millis_ = 0;
 };
--- a/packages/dispatch/worker_selector.cc
+++ b/packages/dispatch/worker_selector.cc
@@ -25,6 +25,8 @@
 constexpr double kReturnedWorkerWeight = 2.0;
 // Applies to each consecutive failure on the worker.
 constexpr double kConsecutiveFailureWeight = 1.0;
+// Applies to LostRoomShare().
+constexpr double kLostRoomWeight = 1.0;
 // Applies to the difference between the desired headroom and a lower expected
 // headroom.
 constexpr double kHeadroomShortfallWeight = 1.0;
@@ -92,6 +94,20 @@
   return with_target == 0 ? kEmptyWorkerSameImageShare : same / with_target;
 }
 
+// Processors that short work can't use any more once a long-running task of the
+// step runs on the worker, as a share of those of the task. Short runs that are
+// there now end soon.
+double LostRoomShare(const ShortWorkNeed& short_work,
+                     const TrackedWorker& worker,
+                     const JobStep& step) {
+  const int64_t size = step.size.processor_millis;
+  const int64_t free = worker.registration().capacity.processor_millis -
+                       worker.reserved_for_long().processor_millis;
+  return (short_work.UsableProcessorMillis(free) -
+          short_work.UsableProcessorMillis(free - size)) /
+         static_cast<double>(std::max<int64_t>(size, 1));
+}
+
 double HeadroomShortfall(double headroom) {
   return std::max(0.0, kDesiredHeadroom - headroom);
 }
@@ -194,6 +210,9 @@
     // other tasks are spread.
     score += step.long_running ? -share : share;
   }
+  if (request.short_work != nullptr) {
+    score += kLostRoomWeight * LostRoomShare(*request.short_work, worker, step);
+  }
   if (step.target_latency_ms > 0) {
     score += kHeadroomShortfallWeight *
                  HeadroomShortfall(model.HeadroomForNewRun(worker, step)) -
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/short_work_need.h"
 #include "packages/dispatch/tracked_worker.h"
 
 namespace bramleyrail {
@@ -35,6 +36,8 @@
   // The worker may have no run that could be taken for the cause of a crash.
   bool isolated = false;
   MonotonicTime now;
+  // Short work that needs room beside a long-running task; null: none.
+  const ShortWorkNeed* short_work = nullptr;
 };
 
 // How many workers could not run a task, by the first reason that was found.
