State: Share the computation of dominant shares

The shares of client accounts need the dominant share that the teams of packages/placement use. It moves to packages/state, so that both have one computation. TeamAccounting behaves as before.

--- a/packages/placement/team_accounting.cc
+++ b/packages/placement/team_accounting.cc
@@ -1,18 +1,7 @@
 #include "packages/placement/team_accounting.h"
 
-#include <algorithm>
-
 namespace bramleyrail {
 
-namespace {
-
-double Ratio(int64_t part, int64_t whole) {
-  return whole == 0 ? 0.0
-                    : static_cast<double>(part) / static_cast<double>(whole);
-}
-
-}  // namespace
-
 TeamAccounting::TeamAccounting(const ClusterState& state,
                                const Fleet& fleet,
                                const FleetSynchronizer& synchronizer)
@@ -35,14 +24,8 @@
 
 double TeamAccounting::Share(const std::string& team) {
   const TeamUsage& usage = UsageOf(team);
-  // Uses the dominant resource, so that a team cannot reserve all the memory
-  // while its share of the processors is small.
-  const double dominant = std::max(
-      {Ratio(usage.reserved.processor_millis, fleet_capacity_.processor_millis),
-       Ratio(usage.reserved.memory_mib, fleet_capacity_.memory_mib),
-       Ratio(usage.reserved.accelerators, fleet_capacity_.accelerators)});
-  const int64_t weight = usage.spec == nullptr ? 1 : usage.spec->weight;
-  return dominant / static_cast<double>(std::max<int64_t>(weight, 1));
+  return WeightedDominantShare(usage.reserved, fleet_capacity_,
+                               usage.spec == nullptr ? 1 : usage.spec->weight);
 }
 
 QuotaStatus TeamAccounting::Check(const std::string& team,
--- a/packages/state/state.h
+++ b/packages/state/state.h
@@ -7,6 +7,7 @@
 #include "packages/state/claim.h"
 #include "packages/state/cluster_state.h"
 #include "packages/state/command.h"
+#include "packages/state/dominant_share.h"
 #include "packages/state/resource.h"
 #include "packages/state/shared_text.h"
 #include "packages/state/state_access.h"
