Dispatch: Limit and share the workers among client accounts

Accounts are stored with limits and weights, but the dispatcher ignored them: an account could reserve any amount, and the order of ready steps did not depend on who had submitted them.

Each tracked run now holds a charge against its account, so a run counts until it has ended and can not begin any more, whatever removes its record. A step is held before the search for a worker while the limit has no room for one more task, or for the whole gang. After a takeover, each account is charged an upper bound for what workers that have not reported may run for it. The order of ready steps depends on how far an account is beyond its weighted dominant share. Without accounts in the configuration, nothing is counted and all ranks are the same.

The fake pool checks limits at every start. The property test of the dispatcher moves to a header and is repeated with accounts, changed limits, gangs, best-effort tasks and repetitions; the liveness test is repeated with a limit that has just room for the long-running tasks. No existing check changes.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -315,6 +315,16 @@
     add("dispatcher_runs_lost_total", counters.runs_lost);
     add("dispatcher_looks_total", counters.lease_renewals);
     add("dispatcher_paces_total", counters.cpu_limit_orders);
+    add("dispatcher_account_limits_reached_total",
+        counters.account_limits_reached);
+    uint64_t waiting_for_limit = 0;
+    uint64_t waiting_for_share = 0;
+    for (const AccountReport& report : dispatcher.AccountReports()) {
+      waiting_for_limit += report.waiting_for_limit;
+      waiting_for_share += report.waiting_for_share;
+    }
+    add("dispatcher_tasks_waiting_for_limit", waiting_for_limit);
+    add("dispatcher_tasks_waiting_for_share", waiting_for_share);
   }
 
   const RoleSettings settings_;
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -54,6 +54,8 @@
     9220, LogSeverity::kWarning, "worker_crash_counted"};
 inline constexpr LogEventDefinition kCrashSuspected{9225, LogSeverity::kInfo,
                                                     "crash_suspected"};
+inline constexpr LogEventDefinition kAccountLimitReached{
+    9230, LogSeverity::kInfo, "account_limit_reached"};
 inline constexpr LogEventDefinition kUnansweredStart{9223, LogSeverity::kInfo,
                                                      "unanswered_start"};
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -64,6 +64,10 @@
     longest_earlier_lease_ =
         std::min(options_.maximum_lease, Milliseconds(*longest_ms));
   }
+  accounts_.Configure(state.configuration());
+  if (!synchronized_) {
+    accounts_.earlier_runs().Begin(state);
+  }
   if (workers_revision_ != state.workers_revision()) {
     workers_revision_ = state.workers_revision();
     SynchronizeWorkers(state, now);
@@ -185,6 +189,7 @@
                                 ? TrackedJob::EarlierRuns::kUnrecorded
                                 : TrackedJob::EarlierRuns::kRecorded;
   auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs);
+  tracked->account = accounts_.Find(tracked->job().account);
   if (!synchronized_) {
     TrackRecordedRuns(state, tracked.get());
   }
@@ -205,6 +210,7 @@
   const auto closed = jobs_.find(id);
   counters_.ready_task_visits += ready_.RemoveJob(closed->second.get());
   StopRunsOfEndedJob(*closed->second, now);
+  accounts_.earlier_runs().AddEndedJob(closed->second->shared_job());
   if (const auto next = closed->second->NextReleaseUnixMs()) {
     releases_.erase({*next, id});
   }
@@ -314,6 +320,7 @@
   tracked.job = job->shared_job();
   tracked.step = &step;
   tracked.reserved = step.size;
+  tracked.charge = accounts_.Charge(job->account, step);
   tracked.payload = job->payload();
   TaskName source = task;
   source.index = step.gang ? 0 : task.index;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "packages/dispatch/account_ledger.h"
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
@@ -121,6 +122,7 @@
   std::optional<std::string> FindInconsistency() const;
   // Long-running tasks whose turn has come and that have no run at work.
   std::vector<StandingTask> FindStandingTasks(MonotonicTime now) const;
+  std::vector<AccountReport> AccountReports() const;
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
@@ -193,6 +195,13 @@
                const TaskName& step,
                const TrackedStep& tracked_step,
                MonotonicTime now);
+  // Whether the limit of the account of the job has no room for the task.
+  bool IsHeldByLimit(const TrackedJob& job, const TaskName& task) const;
+  void HoldForLimit(TrackedJob* job, const TaskName& task, MonotonicTime now);
+  // Call when the step has waited for the limit, and does no more.
+  static void EndLimitWait(TrackedJob* job,
+                           const TaskName& task,
+                           MonotonicTime now);
   // Places the ready tasks of the job step that `task` names.
   void PlaceStep(TaskName task,
                  TrackedJob* job,
@@ -437,6 +446,7 @@
   MonotonicTime next_worker_sweep_;
   std::map<std::string, std::unique_ptr<TrackedJob>, std::less<>> jobs_;
   ReadySteps ready_;
+  AccountLedger accounts_;
   // By the first task of a step, how many workers are reserved for it.
   std::map<TaskName, size_t> reservations_;
   // By pool, the first task of the gang that has workers reserved.
--- a/packages/dispatch/dispatcher_counters.h
+++ b/packages/dispatch/dispatcher_counters.h
@@ -15,6 +15,8 @@
   uint64_t runs_lost = 0;
   uint64_t lease_renewals = 0;
   uint64_t cpu_limit_orders = 0;
+  // How often the limit of an account was reached.
+  uint64_t account_limits_reached = 0;
   // How often a worker was rated for a task.
   uint64_t worker_ratings = 0;
   // How often a job was looked at to follow changes of the state, and a ready
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -31,6 +31,21 @@
 // of them.
 constexpr Milliseconds kContactTime{500};
 
+// Whether the rank of the account of a step has risen beyond that of the next
+// step. `position` is the place of the step in the order, perhaps a former one.
+bool IsOvertaken(const ReadySteps& ready,
+                 const TrackedJob& job,
+                 const ReadySteps::Key& position) {
+  const AccountRank rank = job.account_rank();
+  if (rank == position.account_rank) {
+    return false;
+  }
+  const auto next = ready.steps().upper_bound(position);
+  return next != ready.steps().end() &&
+         next->first.priority == position.priority &&
+         next->first.account_rank < rank;
+}
+
 }  // namespace
 
 Milliseconds Dispatcher::WaitOf(const TrackedStep& step, MonotonicTime now) {
@@ -61,6 +76,7 @@
                      .attempts_left = kMaximumAttemptsPerStep};
   const bool retries_all = now >= next_resume_;
   if (retries_all) {
+    accounts_.Update(workers_, ready_, now);
     ready_.Resume(unix_ms_);
     next_resume_ = now + kPlacementRetryInterval;
     longest_wait_ = Milliseconds(0);
@@ -68,10 +84,16 @@
   for (auto position = ready_.steps().begin();
        position != ready_.steps().end() && !pass.IsOver();) {
     // Placing the last ready task of the step removes its entry.
-    const auto& [key, job] = *position++;
-    const TrackedStep& step = job->step_record(key.occurrence, key.step);
-    longest_wait_ = std::max(longest_wait_, WaitOf(step, now));
+    const ReadySteps::Key& key = position->first;
     const TaskName first{key.job, key.occurrence, key.step, 0};
+    TrackedJob* const job = position->second;
+    ++position;
+    longest_wait_ =
+        std::max(longest_wait_, WaitOf(job->step_record(first), now));
+    if (const auto next = ready_.UpdateAccountRank(job, first)) {
+      position = *next;
+      continue;
+    }
     if (!IsHeldByTakeover(job, first, now)) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
@@ -79,6 +101,8 @@
                                                     state.evacuated(), now);
       }
       PlaceStep(first, job, pool->second, &pass);
+      // The account may have reached the next level of its share.
+      position = ready_.UpdateAccountRank(job, first).value_or(position);
     }
   }
   if (retries_all) {
@@ -98,6 +122,7 @@
   std::optional<WorkerRanking> ranking;
   bool held_after_crash = false;
   bool without_worker = false;
+  bool held_by_limit = false;
   // Placing a task removes its index, or those of its gang.
   for (auto index = step.ready_tasks.begin();
        index != step.ready_tasks.end() && !pass->IsOver();
@@ -112,6 +137,15 @@
       held_after_crash = true;
       continue;
     }
+    // The tasks of a step have the same size.
+    held_by_limit = IsHeldByLimit(*job, task);
+    if (held_by_limit) {
+      HoldForLimit(job, task, now);
+      break;
+    }
+    if (step.limited_since) {
+      EndLimitWait(job, task, now);
+    }
     const bool suspected = IsSuspected(job, task, now);
     if (suspected && without_worker) {
       continue;
@@ -140,8 +174,16 @@
         selection.protection) {
       ranking.reset();
     }
+    // A step whose account has no competitor keeps its ranking of workers.
+    if (job->account_rank() != step.account_rank &&
+        IsOvertaken(ready_, *job,
+                    {job->job().priority, step.account_rank, step.lateness,
+                     job->ObjectiveUnixMs(task.occurrence), task.job,
+                     task.occurrence, task.step})) {
+      break;
+    }
   }
-  if (without_worker) {
+  if (without_worker || held_by_limit) {
     ready_.Defer(job, task);
   }
   if (!held_after_crash) {
--- a/packages/dispatch/dispatcher_reservations.cc
+++ b/packages/dispatch/dispatcher_reservations.cc
@@ -256,7 +256,8 @@
   if (job == nullptr || job->step(first).gang ||
       job->step_record(first).ready_tasks.size() <= reserved ||
       pass.now - worker.reserved_since >= kMaximumReservation ||
-      WorkerSelector::IsAtTaskLimit(worker, job->step(first), first)) {
+      WorkerSelector::IsAtTaskLimit(worker, job->step(first), first) ||
+      IsHeldByLimit(*job, first)) {
     return false;
   }
   // A task of the step that has started may have left no room for the next one.
@@ -296,7 +297,7 @@
     const std::vector<const TrackedWorker*>& workers,
     const PlacementPass& pass) {
   TrackedJob* job = FindJob(first.job);
-  if (!job->AreAllTasksReady(first)) {
+  if (!job->AreAllTasksReady(first) || IsHeldByLimit(*job, first)) {
     return false;
   }
   const JobStep& step = job->step(first);
@@ -378,6 +379,7 @@
   const TrackedStep& tracked_step = job->step_record(first);
   const auto pool = pass.eligible.find(job->job().pool);
   if (!step.long_running || pool == pass.eligible.end() ||
+      IsHeldByLimit(*job, first) ||
       WaitOf(tracked_step, pass.now) < kReservationWait) {
     return;
   }
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -362,6 +362,7 @@
   run.measurement = reported.measurement;
   run.phase = RunPhase::kRunning;
   if (job == nullptr || !job->HasTask(reported.task)) {
+    accounts_.ChargeRunOfEndedJob(reported.task, &run);
     SendStop(worker, key, &worker->AddRun(key, std::move(run)),
              "the job is not open", now);
     return;
@@ -371,6 +372,7 @@
   run.job = job->shared_job();
   run.step = &step;
   run.reserved = step.size;
+  run.charge = accounts_.Charge(job->account, step);
   job->workers.insert(worker->registration().id);
   TrackedRun& added = worker->AddRun(key, std::move(run));
   const bool startable = tracked_task.phase == TaskPhase::kReady ||
--- a/packages/dispatch/dispatcher_standing_tasks.cc
+++ b/packages/dispatch/dispatcher_standing_tasks.cc
@@ -85,6 +85,10 @@
     standing.reason = StandingReason::kCrashRecord;
     return standing;
   }
+  if (IsHeldByLimit(*job, name)) {
+    standing.reason = StandingReason::kAccountLimit;
+    return standing;
+  }
   TaskName first = name;
   for (const int64_t index : step.ready_tasks) {
     first.index = index;
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -152,6 +152,7 @@
   const Milliseconds waited =
       std::chrono::floor<Milliseconds>(now - takeover_time_);
   all_workers_contacted_ = resolved;
+  accounts_.UpdateEarlierRuns(workers_, resolved);
   if (!resolved && waited >= kHeldRunsReport) {
     ReportHeldRuns(now);
   }
@@ -211,6 +212,8 @@
   if (found == workers_.end()) {
     // A delayed withdrawal of an earlier incarnation may have removed it.
     tracked_task.not_before = EndOfEarlierLeases();
+    accounts_.ChargeUntil(tracked_task.not_before, job->account,
+                          job->step(task));
     return;
   }
   TrackedWorker* worker = found->second.get();
@@ -224,6 +227,7 @@
   run.job = job->shared_job();
   run.step = &step;
   run.reserved = step.size;
+  run.charge = accounts_.Charge(job->account, step);
   run.started = takeover_time_;
   run.progress_changed = takeover_time_;
   run.last_order_sent = takeover_time_;
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -53,13 +53,16 @@
   return job;
 }
 
-void FakePool::Submit(const std::string& id, JobSpecification job) {
+void FakePool::Submit(const std::string& id,
+                      JobSpecification job,
+                      const std::string& account) {
   SubmitJob command;
   command.id = id;
   command.queue = "queue";
   command.pool = "pool";
   command.maximum_attempts = kMaximumAttempts;
   command.specification = std::move(job);
+  command.account = account;
   Apply(std::move(command));
 }
 
@@ -235,6 +238,7 @@
   run.gang_members = options_.ends_gangs && step.gang ? step.tasks : 0;
   Run& added = worker->runs[key] = run;
   JoinGang(key, &added);
+  CheckLimit(job->account);
   return OrderOutcome::kAccepted;
 }
 
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -66,7 +66,12 @@
 
   explicit FakePool(Options options);
 
-  void Submit(const std::string& id, JobSpecification job);
+  void Submit(const std::string& id,
+              JobSpecification job,
+              const std::string& account = "");
+  // Replaces the configuration. From then on, checks at every start that no
+  // account exceeds its limit.
+  void SetAccounts(std::vector<ClientAccount> accounts);
   void Apply(QueueCommandBody body);
   void RunFor(Milliseconds duration);
   bool RunUntil(const std::function<bool()>& condition, Milliseconds limit);
@@ -133,6 +138,8 @@
   int64_t CpuLimitOf(const TaskName& task) const;
   // How many workers have crashed, for any reason.
   int crashes() const { return crashes_; }
+  // What the runs of the account reserve on all workers.
+  ResourceAmounts ReservedBy(const std::string& account) const;
   // The first invariant that was violated, or empty.
   const std::string& violation() const { return violation_; }
   MonotonicTime now() const { return now_; }
@@ -231,6 +238,8 @@
   void NoteListedRuns(const Worker& worker,
                       const LeaseRenewalResponse& response);
   void CheckInvariants();
+  // Checks what the runs of the account reserve against its limit.
+  void CheckLimit(const std::string& account);
   // Checks that no start of the task followed its last allowed failure, as far
   // as acknowledged failures show.
   void CheckAttempts(const TaskName& task);
@@ -275,6 +284,9 @@
   std::map<TaskName, CrashCount> crash_counts_;
   std::map<std::string, Milliseconds> crashing_jobs_;
   int crashes_ = 0;
+  // Former accounts, and until when starts could be ordered under them.
+  std::vector<std::pair<MonotonicTime, std::vector<ClientAccount>>>
+      former_accounts_;
   std::set<TaskName> recorded_done_;
   // Tasks with a run that a response listed as done, whose lease had not
   // expired in between.
--- a/packages/dispatch/ready_steps.cc
+++ b/packages/dispatch/ready_steps.cc
@@ -1,5 +1,6 @@
 #include "packages/dispatch/ready_steps.h"
 
+#include <iterator>
 #include <set>
 #include <utility>
 #include <vector>
@@ -7,8 +8,10 @@
 namespace bramleyrail {
 
 ReadySteps::Key ReadySteps::KeyOf(TrackedJob* job, const TaskName& task) {
+  const TrackedStep& step = job->step_record(task);
   return {job->job().priority,
-          job->step_record(task).lateness,
+          step.account_rank,
+          step.lateness,
           job->ObjectiveUnixMs(task.occurrence),
           task.job,
           task.occurrence,
@@ -19,6 +22,7 @@
   TrackedStep& step = job->step_record(task);
   if (step.ready_tasks.empty()) {
     step.lateness = job->LatenessOf(task, unix_ms);
+    step.account_rank = job->account_rank();
     steps_.emplace(KeyOf(job, task), job);
   }
   task_count_ += step.ready_tasks.insert(task.index).second ? 1 : 0;
@@ -76,8 +80,9 @@
   std::vector<Map::iterator> changed;
   for (auto position = steps_.begin(); position != steps_.end(); ++position) {
     const auto& [key, job] = *position;
-    if (job->LatenessOf({key.job, key.occurrence, key.step, 0}, unix_ms) !=
-        key.lateness) {
+    if (job->account_rank() != key.account_rank ||
+        job->LatenessOf({key.job, key.occurrence, key.step, 0}, unix_ms) !=
+            key.lateness) {
       changed.push_back(position);
     }
   }
@@ -86,9 +91,31 @@
     Key& key = node.key();
     const TaskName task{key.job, key.occurrence, key.step, 0};
     key.lateness = node.mapped()->LatenessOf(task, unix_ms);
-    node.mapped()->step_record(task).lateness = key.lateness;
+    key.account_rank = node.mapped()->account_rank();
+    TrackedStep& step = node.mapped()->step_record(task);
+    step.lateness = key.lateness;
+    step.account_rank = key.account_rank;
     steps_.insert(std::move(node));
   }
 }
 
+std::optional<ReadySteps::Map::const_iterator> ReadySteps::UpdateAccountRank(
+    TrackedJob* job,
+    const TaskName& task) {
+  TrackedStep& step = job->step_record(task);
+  if (step.account_rank == job->account_rank()) {
+    return std::nullopt;
+  }
+  const auto found = steps_.find(KeyOf(job, task));
+  if (found == steps_.end()) {
+    return std::nullopt;
+  }
+  const auto next = std::next(found);
+  auto node = steps_.extract(found);
+  step.account_rank = job->account_rank();
+  node.key().account_rank = step.account_rank;
+  const auto moved = steps_.insert(std::move(node)).position;
+  return std::next(moved) == next ? moved : next;
+}
+
 }  // namespace bramleyrail
--- a/packages/dispatch/ready_steps.h
+++ b/packages/dispatch/ready_steps.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "packages/dispatch/tracked_job.h"
 
@@ -17,6 +18,7 @@
  public:
   struct Key {
     int64_t priority = 0;
+    AccountRank account_rank;
     Lateness lateness = Lateness::kOnTime;
     int64_t objective_unix_ms = 0;  // Of the occurrence.
     SharedText job;
@@ -39,8 +41,13 @@
 
   // Takes the step out of steps() until the next call of Resume().
   void Defer(TrackedJob* job, const TaskName& task);
-  // Adds the deferred steps to steps() again and updates how late each is.
+  // Adds the deferred steps to steps() again and updates how late each is, and
+  // the rank of its account.
   void Resume(int64_t unix_ms);
+  // Moves the step in steps() if the rank of its account has changed. Returns
+  // the step that follows its former place then, perhaps the same one.
+  std::optional<Map::const_iterator> UpdateAccountRank(TrackedJob* job,
+                                                       const TaskName& task);
 
   // Without the deferred ones.
   const Map& steps() const { return steps_; }
--- a/packages/dispatch/standing_task.cc
+++ b/packages/dispatch/standing_task.cc
@@ -24,6 +24,8 @@
       return "crash_record";
     case StandingReason::kOtherTask:
       return "other_task";
+    case StandingReason::kAccountLimit:
+      return "account_limit";
     case StandingReason::kRoom:
       return "room";
   }
--- a/packages/dispatch/standing_task.h
+++ b/packages/dispatch/standing_task.h
@@ -22,6 +22,7 @@
   kGang,              // Another member of its gang that is not ready.
   kCrashRecord,       // The record of a crash of its worker.
   kOtherTask,         // Another task of its step, which is placed first.
+  kAccountLimit,      // The limit of the client account of its job.
   kRoom,              // A worker. See the event step_waits.
 };
 
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -2,6 +2,7 @@
 
 #include "packages/dispatch/fakes/fake_pool.h"
 #include "packages/dispatch/fakes/recorded_step.h"
+#include "packages/dispatch/tests/any_sequence_of_faults.h"
 
 // Redefines operator new, so it comes after the standard library.
 #include "CppUTest/TestHarness.h"
@@ -381,51 +382,6 @@
   CheckNoViolation(pool);
 }
 
-// Runs a random sequence of faults on a pool and checks what must always hold.
-void CheckAnySequenceOfFaults(FakePool::Options options,
-                              const JobSpecification& job = FakePool::Job(4,
-                                                                          2)) {
-  options.seed = *rc::gen::arbitrary<uint64_t>();
-  options.lose_order = 0.05;
-  options.delay_order = 0.05;
-  options.lose_response = 0.05;
-  FakePool pool(options);
-  int jobs = 0;
-  const auto faults =
-      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
-  for (const int fault : faults) {
-    if (jobs < 20) {
-      pool.Submit(absl::StrCat("job", jobs++), job);
-    }
-    const int worker = fault % options.workers;
-    if (fault < 4) {
-      pool.SetPartitioned(worker, true);
-    } else if (fault < 8) {
-      pool.SetPartitioned(worker, false);
-    } else if (fault < 10) {
-      pool.Crash(worker);
-    } else if (fault < 12) {
-      pool.ChangeLeader();
-    }
-    pool.RunFor(Milliseconds(700));
-  }
-  for (int worker = 0; worker < options.workers; ++worker) {
-    pool.SetPartitioned(worker, false);
-  }
-  const bool all_ended = pool.RunUntil(
-      [&] {
-        for (int i = 0; i < jobs; ++i) {
-          if (pool.Outcome(absl::StrCat("job", i)) == JobOutcome::kOpen) {
-            return false;
-          }
-        }
-        return true;
-      },
-      Milliseconds(120'000));
-  RC_ASSERT(pool.violation() == "");
-  RC_ASSERT(all_ended);
-}
-
 // Fails when a task runs twice at the same time, starts after it was recorded
 // as done or before its predecessors are done, or when a job never ends, under
 // any mix of lost and delayed orders, partitioned and restarted workers and new
@@ -450,8 +406,12 @@
   JobSpecification job = FakePool::Job(2, 3);
   job.steps[2].predecessors = {0};
   CHECK(rc::check("fork", [&job] {
+    FaultSequence sequence;
+    sequence.submit = [&job](FakePool* pool, int number) {
+      pool->Submit(absl::StrCat("job", number), job);
+    };
     CheckAnySequenceOfFaults({.fail_task = 0.6, .task_time = Milliseconds(150)},
-                             job);
+                             sequence);
   }));
 }
 
--- a/packages/dispatch/tests/long_running_liveness_test.cc
+++ b/packages/dispatch/tests/long_running_liveness_test.cc
@@ -19,9 +19,12 @@
 // Of the default size of a sequence. It bounds the duration of the tests.
 constexpr double kSequenceScale = 0.4;
 
-void CheckAnySequenceOfFaults(bool has_gang, Fault first = Fault::kPartition) {
-  LivenessScenario scenario(
-      {.seed = *rc::gen::arbitrary<uint64_t>(), .has_gang = has_gang});
+void CheckAnySequenceOfFaults(bool has_gang,
+                              Fault first = Fault::kPartition,
+                              bool has_accounts = false) {
+  LivenessScenario scenario({.seed = *rc::gen::arbitrary<uint64_t>(),
+                             .has_gang = has_gang,
+                             .has_accounts = has_accounts});
   const auto faults = *rc::gen::scale(
       kSequenceScale,
       rc::gen::container<std::vector<std::pair<int, int>>>(
@@ -58,6 +61,14 @@
   CHECK(rc::check("gang", [] { CheckAnySequenceOfFaults(true); }));
 }
 
+// QUOTA, LOST: fails when an account exceeds its limit, or when a long-running
+// task stands still although the limit has room for it.
+TEST(LongRunningLiveness, EachTaskWithinALimitRunsWithinABound) {
+  CHECK(rc::check("accounts", [] {
+    CheckAnySequenceOfFaults(true, Fault::kPartition, /*has_accounts=*/true);
+  }));
+}
+
 // LOST: fails when a task never gets its room because so many ordinary tasks
 // wait that no pass of the leader tries all steps.
 TEST(LongRunningLiveness, EachTaskBesideManyOrdinaryOnesRunsWithinABound) {
--- a/packages/dispatch/tests/ready_steps_test.cc
+++ b/packages/dispatch/tests/ready_steps_test.cc
@@ -45,6 +45,33 @@
 
 TEST_GROUP(ReadySteps){};
 
+// Fails when a step does not follow a change of the rank of its account, or
+// when a pass visits it twice or leaves it out.
+TEST(ReadySteps, StepMovesWithTheRankOfItsAccount) {
+  const auto account = std::make_shared<TrackedAccount>("busy");
+  account->SetShare(0.5, {10'000, 0, 0});
+  const auto busy = Job("busy", kSubmittedUnixMs);
+  busy->account = account;
+  const auto middle = Job("middle", kSubmittedUnixMs + 1);
+  const auto last = Job("last", kSubmittedUnixMs + 2);
+  ReadySteps ready;
+  for (TrackedJob* job : {busy.get(), middle.get(), last.get()}) {
+    ready.Add(job, FirstTask(*job), kSubmittedUnixMs);
+  }
+  CHECK(JobsInOrder(ready) ==
+        std::vector<std::string>({"busy", "middle", "last"}));
+  account->AddReserved({6'000, 0, 0}, /*long_running=*/false);
+  const auto next = ready.UpdateAccountRank(busy.get(), FirstTask(*busy));
+  CHECK(next && (*next)->second == middle.get());
+  CHECK(!ready.UpdateAccountRank(busy.get(), FirstTask(*busy)));
+  CHECK(JobsInOrder(ready) ==
+        std::vector<std::string>({"middle", "last", "busy"}));
+  account->RemoveReserved({6'000, 0, 0}, /*long_running=*/false);
+  ready.Resume(kSubmittedUnixMs);
+  CHECK(JobsInOrder(ready) ==
+        std::vector<std::string>({"busy", "middle", "last"}));
+}
+
 // Pattern: a fleet that lacks room for some seconds. The earliest objective
 // went first, so that each job started when its objective was nearly over and
 // all of them were late, for as long as the backlog lasted.
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "packages/dispatch/tracked_account.h"
 #include "packages/queue/queue.h"
 
 namespace bramleyrail {
@@ -54,11 +55,16 @@
   std::vector<TrackedTask> tasks;
   // Indexes of the tasks that are ready to start. See ReadySteps.
   std::set<int64_t> ready_tasks;
-  Lateness lateness = Lateness::kOnTime;  // When last looked at by ReadySteps.
+  // When last looked at by ReadySteps.
+  Lateness lateness = Lateness::kOnTime;
+  AccountRank account_rank;
   // Since when no task of the step could be placed although one was ready, and
   // how often that was logged.
   std::optional<MonotonicTime> waiting_since;
   int wait_reports = 0;
+  // The same for the limit of the account.
+  std::optional<MonotonicTime> limited_since;
+  int limit_reports = 0;
   // The same for the tasks that a crash holds.
   std::optional<MonotonicTime> held_since;
   int held_reports = 0;
@@ -140,6 +146,11 @@
   // The latest start of the task that still meets the objective, by the
   // estimated durations.
   int64_t LatestStartUnixMs(const TaskName& task) const;
+  // Null: the job counts against no account.
+  std::shared_ptr<TrackedAccount> account;
+  AccountRank account_rank() const {
+    return account == nullptr ? AccountRank{} : account->rank();
+  }
   bool started = false;
   // Ids of the workers that were given, or reported, a run of the job.
   std::set<std::string> workers;
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "packages/dispatch/best_effort_estimate.h"
+#include "packages/dispatch/tracked_account.h"
 #include "packages/dispatch/worker_order.h"
 
 namespace bramleyrail {
@@ -40,6 +41,8 @@
   std::shared_ptr<const QueuedJob> job;
   const JobStep* step = nullptr;
   ResourceAmounts reserved;
+  // Counts the run against the account of its job; null: none is counted.
+  std::shared_ptr<const AccountCharge> charge;
   MonotonicTime started;  // Or taken over from an earlier leader.
   // Recorded by an earlier leader; whether it has ordered the start is unknown.
   bool from_earlier_leader = false;
