--- a/packages/base/json.cc
+++ b/packages/base/json.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 namespace bramleyrail {
 
@@ -42,9 +43,11 @@
   bool start_array(size_t) override { return Open(Json::array()); }
   bool end_array() override { return Close(); }
   bool parse_error(size_t,
-                   const std::string&,
+                   const std::string& last_token,
                    const nlohmann::json::exception& error) override {
-    error_ = error.what();
+    // The token may be part of a secret.
+    error_ = absl::StrReplaceAll(
+        error.what(), {{absl::StrCat("; last read: '", last_token, "'"), ""}});
     return false;
   }
 
--- a/packages/queue/client_account.h
+++ b/packages/queue/client_account.h
@@ -2,9 +2,11 @@
 #define PACKAGES_QUEUE_CLIENT_ACCOUNT_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
+#include "packages/base/base.h"
 #include "packages/state/state.h"
 
 namespace bramleyrail {
@@ -23,6 +25,11 @@
   ResourceAmounts limit;
 };
 
+// Adds a fault for a key that two accounts hold or that cannot stand in an HTTP
+// field, and for a name that is missing or used twice. No fault contains a key.
+void CheckAccounts(std::span<const ClientAccount> accounts,
+                   std::vector<FieldFault>* faults);
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_QUEUE_CLIENT_ACCOUNT_H_
--- a/packages/queue/queue_configuration.cc
+++ b/packages/queue/queue_configuration.cc
@@ -70,6 +70,7 @@
                               queue.timeout_ms, " ms")});
     }
   }
+  CheckAccounts(configuration.accounts, &faults);
   if (!faults.empty()) {
     return MakeInvalidArgument("the configuration is not valid",
                                std::move(faults));
--- a/packages/queue/queue_configuration.h
+++ b/packages/queue/queue_configuration.h
@@ -62,8 +62,8 @@
   const ClientAccount* FindAccount(std::string_view name) const;
 };
 
-// Rejects an unknown pool, two queues with the same host and prefix, and a
-// timeout that is not above 0.
+// Rejects an unknown pool, two queues with the same host and prefix, a timeout
+// that is not above 0, and the faults of CheckAccounts().
 Result<void> ValidateQueues(const QueueConfiguration& configuration);
 
 }  // namespace bramleyrail
