Control, Platform: Require the keys of client accounts

Every call of a client ran, whoever sent it, although a configuration may hold client accounts.

The leader now decides for each call, before its body is decoded, by the configuration in force: a call needs a key of an account unless its queue is public, and a key that is sent there must be in force, too. Refusals are 401, and 403 for a job of another account. They are given only after a check of the leadership, so that a superseded leader refuses nothing that is allowed. Gateways relay the credentials of callers; a refusal that follows an attempt without a response is reported as an unknown outcome, since that attempt may have been allowed.

Refusals are logged (9320, bounded) and counted by reason. No log line, metric or error contains a key.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -269,6 +269,12 @@
         {"control_connections_limit",
          {},
          static_cast<double>(descriptors_.server)}};
+    for (const CallRefusal refusal : kAllCallRefusals) {
+      samples.push_back(
+          {"caller_calls_refused_total",
+           {{"reason", std::string(CallRefusalName(refusal))}},
+           static_cast<double>(service_->refused_calls(refusal))});
+    }
     AppendClient("worker", orders_, descriptors_.orders, &samples);
     AppendClient("renewal", renewals_, descriptors_.renewals, &samples);
     const size_t jobs = queue_->Read(
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -5,6 +5,8 @@
 // the requests that callers, operators and workers send to their leader, and
 // the relay that forwards these requests.
 
+#include "packages/control/account_directory.h"
+#include "packages/control/call_authorizer.h"
 #include "packages/control/control_names.h"
 #include "packages/control/control_service.h"
 #include "packages/control/dispatch_load.h"
--- a/packages/control/control_events.h
+++ b/packages/control/control_events.h
@@ -38,6 +38,10 @@
     9315, LogSeverity::kWarning, "placements_not_recorded"};
 inline constexpr LogEventDefinition kOrderNotConfirmed{
     9316, LogSeverity::kWarning, "order_not_confirmed"};
+inline constexpr LogEventDefinition kCallRefused{9320, LogSeverity::kWarning,
+                                                 "call_refused"};
+inline constexpr LogEventDefinition kAccountKeysIndexed{
+    9321, LogSeverity::kInfo, "account_keys_indexed"};
 
 }  // namespace bramleyrail
 
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -104,7 +104,35 @@
   });
 }
 
+Result<CallAuthorization> ControlService::Authorize(
+    const QueuePath& path,
+    const CallerCredentials& credentials) {
+  const auto location = FindQueueLocation(path);
+  CallAuthorization authorization;
+  if (location) {
+    authorization = queue_->Read([&](const QueueState& state) {
+      const auto& [queue, job] = location.value();
+      return authorizer_.Decide(state.configuration(), queue,
+                                state.FindJob(job), credentials);
+    });
+  }
+  // Checked after the lookup: a newer leader may have stored a configuration
+  // that allows the call.
+  if (!IsLeaderNow()) {
+    return NotLeading();
+  }
+  if (!location) {
+    return location.error();
+  }
+  if (authorization.refusal) {
+    authorizer_.Report(*authorization.refusal, location.value().queue.name,
+                       authorization.account, std::chrono::steady_clock::now());
+  }
+  return authorization;
+}
+
 void ControlService::Submit(const QueuePath& path,
+                            std::string account,
                             JobSpecification job,
                             Callback<void> callback) {
   const auto location = FindQueueLocation(path);
@@ -130,13 +158,15 @@
   command.stretch_factor = queue.stretch_factor;
   command.target_latency_ms = queue.target_latency_ms;
   command.specification = std::move(job);
+  command.account = std::move(account);
   const std::string id = command.id;
-  const auto log = [id,
+  const auto log = [id, account = command.account,
                     name = queue.name](const Result<QueueOutcome>& outcome) {
     if (outcome) {
-      LogEvent(
-          kJobAccepted,
-          {{"job", id}, {"queue", name}, {"new", outcome.value().changed}});
+      LogEvent(kJobAccepted, {{"job", id},
+                              {"queue", name},
+                              {"account", account},
+                              {"new", outcome.value().changed}});
     } else {
       LogEvent(kJobNotAccepted, {{"job", id},
                                  {"queue", name},
--- a/packages/control/control_service.h
+++ b/packages/control/control_service.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <utility>
 
+#include "packages/control/call_authorizer.h"
 #include "packages/control/dispatch_loop.h"
 #include "packages/control/replicated_queue.h"
 #include "packages/http/http.h"
@@ -53,9 +54,18 @@
   // True when this instance leads and has taken over.
   bool leads() const { return dispatch_->dispatcher() != nullptr; }
 
-  // Submits a job. The part of the path after the queue's prefix is the id of
-  // the job.
+  // Decides whether a call of a client may be executed; every other method for
+  // callers is for calls that were allowed.
+  Result<CallAuthorization> Authorize(const QueuePath& path,
+                                      const CallerCredentials& credentials);
+  uint64_t refused_calls(CallRefusal refusal) const {
+    return authorizer_.refusals(refusal);
+  }
+
+  // Submits a job for an account; empty: none. The part of the path after the
+  // queue's prefix is the id of the job.
   void Submit(const QueuePath& path,
+              std::string account,
               JobSpecification job,
               Callback<void> callback);
   // Passes nullopt when the job is unknown.
@@ -108,6 +118,7 @@
   DispatchLoop* const dispatch_;
   const std::set<std::string> failure_domains_;
   const std::shared_ptr<bool> alive_;
+  CallAuthorizer authorizer_;
   // Start of the incarnation and sequence number of each worker's newest
   // heartbeat.
   std::map<std::string, std::pair<int64_t, int64_t>> heartbeats_;
--- a/packages/control/leader_relay.cc
+++ b/packages/control/leader_relay.cc
@@ -27,6 +27,15 @@
 // HTTP status codes.
 constexpr int kStatusNotExecuted = 503;
 constexpr int kStatusOutcomeUnknown = 504;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusForbidden = 403;
+constexpr int kStatusNotFound = 404;
+
+// Whether another configuration could have allowed the request.
+bool IsRefusalByConfiguration(int64_t status) {
+  return status == kStatusUnauthorized || status == kStatusForbidden ||
+         status == kStatusNotFound;
+}
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
@@ -166,6 +175,13 @@
     return;
   }
   leader_ = peer;
+  if (exchange->maybe_executed && exchange->request.method != "GET" &&
+      IsRefusalByConfiguration(relayed.status)) {
+    // An earlier attempt may have been executed under another configuration.
+    exchange->last_error = absl::StrCat(peer, ": status ", relayed.status);
+    HandleTimeout(exchange);
+    return;
+  }
   ++counters_.responses;
   exchange->respond(FromRelayed(std::move(relayed)));
 }
--- a/packages/control/relayed_message.h
+++ b/packages/control/relayed_message.h
@@ -24,6 +24,9 @@
   // Asks for the members of the core; the other fields are empty then. An older
   // instance ignores the field and answers 404.
   bool asks_members = false;
+  // Values of the Authorization headers of a caller's request. An older leader
+  // ignores them, and an older gateway sends none.
+  std::vector<std::string> credentials;
 };
 
 struct RelayedResponse {
@@ -37,6 +40,8 @@
   // Names of all replicas, voters and learners, in the answer of the leader to
   // `asks_members`; else empty.
   std::vector<std::string> members;
+  // Value of the header WWW-Authenticate of status 401; else empty.
+  std::string challenge;
 };
 
 std::vector<std::byte> EncodeRelayed(const RelayedRequest& request);
--- a/packages/control/tests/leader_relay_test.cc
+++ b/packages/control/tests/leader_relay_test.cc
@@ -68,6 +68,19 @@
   LONGS_EQUAL(504, exchange.Run(kLimit).status);
 }
 
+// Fails when a caller is told that its job was refused although an earlier
+// leader may have accepted it, before its key was revoked.
+TEST(LeaderRelay, RefusedKeyAfterAnUnansweredAttemptLeavesTheOutcomeUnknown) {
+  for (const int status : {401, 403, 404}) {
+    RelayedExchange exchange(
+        {RelayedExchange::NoResponse(), RelayedExchange::Status(status)});
+    LONGS_EQUAL(504, exchange.Run(kLimit).status);
+    LONGS_EQUAL(2, exchange.attempts());
+    RelayedExchange refused({RelayedExchange::Status(status)});
+    LONGS_EQUAL(status, refused.Run(kLimit).status);
+  }
+}
+
 // Fails when a refused request is returned to the caller instead of being
 // retried by the relay.
 TEST(LeaderRelay, RefusedRequestIsRetried) {
--- a/packages/control/tests/relayed_message_test.cc
+++ b/packages/control/tests/relayed_message_test.cc
@@ -33,5 +33,32 @@
   CHECK(response.members == received.value().members);
 }
 
+// Fails when the leader cannot see which account calls, or when a header of an
+// operator or a worker is taken for credentials.
+TEST(RelayedMessage, CredentialsOfCallersTravel) {
+  const HttpRequest request{
+      .method = "POST",
+      .target = "/queue/1",
+      .headers = {{"authorization", "Token a"}, {"Authorization", "Token b"}}};
+  const auto relay = [&request](RelayOrigin from) {
+    return FromRelayed(
+        DecodeRelayedRequest(EncodeRelayed(ToRelayed(request, from))).value());
+  };
+  const HttpRequest received = relay(RelayOrigin::kCaller);
+  LONGS_EQUAL(3, received.headers.size());  // With the host.
+  STRCMP_EQUAL("Token a", received.headers[1].second.c_str());
+  STRCMP_EQUAL("Token b", received.headers[2].second.c_str());
+  LONGS_EQUAL(1, relay(RelayOrigin::kOperatorOrWorker).headers.size());
+}
+
+TEST(RelayedMessage, ChallengeTravels) {
+  const HttpResponse refusal{.status = 401,
+                             .headers = {{"WWW-Authenticate", "Token"}}};
+  const HttpResponse received = FromRelayed(
+      DecodeRelayedResponse(EncodeRelayed(ToRelayed(refusal))).value());
+  LONGS_EQUAL(401, received.status);
+  CHECK(FindHeader(received.headers, "WWW-Authenticate") == "Token");
+}
+
 }  // namespace
 }  // namespace bramleyrail
