--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -303,6 +303,12 @@
     samples.push_back({"relayed_requests_refused_total",
                        {},
                        static_cast<double>(relayed_memory_.refused())});
+    for (const CallRefusal refusal : kAllCallRefusals) {
+      samples.push_back(
+          {"caller_calls_refused_total",
+           {{"reason", std::string(CallRefusalName(refusal))}},
+           static_cast<double>(service_->refused_calls(refusal))});
+    }
     AppendClient("worker", orders_, descriptors_.orders, &samples);
     AppendClient("renewal", renewals_, descriptors_.renewals, &samples);
     const size_t jobs = queue_->Read(
@@ -353,6 +359,16 @@
         counters.long_running_admitted);
     add("dispatcher_long_running_rejected_total",
         counters.long_running_rejected);
+    add("dispatcher_account_limits_reached_total",
+        counters.account_limits_reached);
+    uint64_t waiting_for_limit = 0;
+    uint64_t waiting_for_share = 0;
+    for (const AccountReport& report : dispatcher.AccountReports()) {
+      waiting_for_limit += report.waiting_for_limit;
+      waiting_for_share += report.waiting_for_share;
+    }
+    add("dispatcher_tasks_waiting_for_limit", waiting_for_limit);
+    add("dispatcher_tasks_waiting_for_share", waiting_for_share);
   }
 
   const RoleSettings settings_;
--- a/packages/control/leader_relay.cc
+++ b/packages/control/leader_relay.cc
@@ -28,6 +28,21 @@
 constexpr int kStatusRejected = 429;
 constexpr int kStatusNotExecuted = 503;
 constexpr int kStatusOutcomeUnknown = 504;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusForbidden = 403;
+constexpr int kStatusNotFound = 404;
+
+// Whether an earlier attempt may have been executed although this one got the
+// status: an attempt that arrives late may be accepted, and another
+// configuration may have allowed it. The caller must not be told then that the
+// request never takes effect.
+bool MayFollowExecution(std::string_view method, int64_t status) {
+  const bool refused_by_configuration = status == kStatusUnauthorized ||
+                                        status == kStatusForbidden ||
+                                        status == kStatusNotFound;
+  return status == kStatusRejected ||
+         (method != "GET" && refused_by_configuration);
+}
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
@@ -173,11 +188,10 @@
     return;
   }
   leader_ = peer;
-  if (relayed.status == kStatusRejected && exchange->maybe_executed) {
-    // An earlier attempt may still arrive and be accepted, so the caller must
-    // not be told that the request never takes effect.
-    ++counters_.outcome_unknown;
-    exchange->respond(OutcomeUnknown());
+  if (exchange->maybe_executed &&
+      MayFollowExecution(exchange->request.method, relayed.status)) {
+    exchange->last_error = absl::StrCat(peer, ": status ", relayed.status);
+    HandleTimeout(exchange);
     return;
   }
   ++counters_.responses;
--- a/packages/dispatch/dispatcher_counters.h
+++ b/packages/dispatch/dispatcher_counters.h
@@ -18,6 +18,8 @@
   // Decisions about jobs with long-running steps that were handed in.
   uint64_t long_running_admitted = 0;
   uint64_t long_running_rejected = 0;
+  // How often the limit of an account was reached.
+  uint64_t account_limits_reached = 0;
   // How often a worker was rated for a task.
   uint64_t worker_ratings = 0;
   // How often a job was looked at to follow changes of the state, and a ready
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -53,8 +53,12 @@
   return job;
 }
 
-void FakePool::Submit(const std::string& id, JobSpecification job) {
-  Apply(MakeSubmission(id, std::move(job)));
+void FakePool::Submit(const std::string& id,
+                      JobSpecification job,
+                      const std::string& account) {
+  SubmitJob command = MakeSubmission(id, std::move(job));
+  command.account = account;
+  Apply(std::move(command));
 }
 
 bool FakePool::HandIn(const std::string& id, JobSpecification job) {
@@ -249,6 +253,7 @@
   run.gang_members = options_.ends_gangs && step.gang ? step.tasks : 0;
   Run& added = worker->runs[key] = run;
   JoinGang(key, &added);
+  CheckLimit(job->account);
   return OrderOutcome::kAccepted;
 }
 
