Control, Dispatch: Close public paths to private jobs and bound limit reservations

A job is found by its id alone, so a call without a key could read or cancel a job of a private queue through the path of a public one; the queue of the job decides now, too. A task that waited for the limit of its account reserved the room of the limit for as long as the runs before it went on, and held back tasks that had room; a reservation now lasts 2 s, and the next one follows after as long a pause.

--- a/packages/control/call_authorizer.cc
+++ b/packages/control/call_authorizer.cc
@@ -26,10 +26,16 @@
   if (configuration.accounts.empty()) {
     return {};
   }
+  // A job is found by its id alone. A public queue in the path of the call must
+  // not open the jobs of the others.
+  const JobQueue* queue_of_job =
+      job == nullptr ? &queue : configuration.FindQueueByName(job->queue);
+  const bool is_public =
+      queue.is_public && queue_of_job != nullptr && queue_of_job->is_public;
   using Kind = CallerCredentials::Kind;
   if (credentials.kind == Kind::kNone) {
-    return queue.is_public ? CallAuthorization()
-                           : CallAuthorization{CallRefusal::kNoKey, ""};
+    return is_public ? CallAuthorization()
+                     : CallAuthorization{CallRefusal::kNoKey, ""};
   }
   // Refused on public queues, too: a client whose key was revoked or mistyped
   // would otherwise submit jobs that its account does not own, and not notice.
@@ -43,7 +49,7 @@
   }
   const bool is_of_other =
       job != nullptr && !job->account.empty() && job->account != *account;
-  if (is_of_other && !queue.is_public) {
+  if (is_of_other && !is_public) {
     return {CallRefusal::kOtherAccount, *account};
   }
   return {std::nullopt, *account};
--- a/packages/control/tests/call_authorizer_test.cc
+++ b/packages/control/tests/call_authorizer_test.cc
@@ -84,6 +84,25 @@
         CallRefusal::kOtherAccount);
 }
 
+// Fails when a call through a public queue reads or cancels a job that was
+// submitted to a private one.
+TEST(CallAuthorizer, PublicQueueOpensNoJobOfAnotherQueue) {
+  configuration_.queues = {{.name = "private"},
+                           {.name = "public", .is_public = true}};
+  const JobQueue& queue = configuration_.queues[1];
+  QueuedJob job;
+  job.queue = "private";
+  job.account = "a";
+  CHECK(Decide(queue, kNone, &job).refusal == CallRefusal::kNoKey);
+  CHECK(Decide(queue, Key("key-of-b"), &job).refusal ==
+        CallRefusal::kOtherAccount);
+  CHECK(!Decide(queue, Key("key-1"), &job).refusal);
+  job.queue = "removed";
+  CHECK(Decide(queue, kNone, &job).refusal == CallRefusal::kNoKey);
+  job.queue = "public";
+  CHECK(!Decide(queue, kNone, &job).refusal);
+}
+
 // Fails when a deployment without accounts looks at credentials.
 TEST(CallAuthorizer, WithoutAccountsEveryCallIsAllowed) {
   configuration_.accounts.clear();
--- a/packages/dispatch/account_ledger.cc
+++ b/packages/dispatch/account_ledger.cc
@@ -11,6 +11,10 @@
 // A pass that ends early does not try all steps. A step that none of this many
 // has tried may have ended.
 constexpr int kMaximumReservationUpdates = 10;
+// A reservation holds back other tasks of the account for about 2 s, and the
+// next one follows after as long a pause: the runs that have to end for it may
+// go on for hours, and long-running tasks must not stand for 3 s.
+constexpr int kMaximumReservationAge = 26;
 
 }  // namespace
 
@@ -139,6 +143,9 @@
     reservation->updates = 0;
     return;
   }
+  if (account->reservation_pause > 0) {
+    return;
+  }
   ResourceAmounts least = account->reserved_for_long();
   least += account->unreported;
   least += start.size;
@@ -214,8 +221,17 @@
   for (const auto& [name, account] : accounts_) {
     account->limit_reached_before =
         std::exchange(account->limit_reached, false);
-    if (account->limit_reservation &&
-        ++account->limit_reservation->updates > kMaximumReservationUpdates) {
+    if (account->reservation_pause > 0) {
+      --account->reservation_pause;
+    }
+    if (!account->limit_reservation) {
+      continue;
+    }
+    LimitReservation& reservation = *account->limit_reservation;
+    if (++reservation.age > kMaximumReservationAge) {
+      account->limit_reservation.reset();
+      account->reservation_pause = kMaximumReservationAge;
+    } else if (++reservation.updates > kMaximumReservationUpdates) {
       account->limit_reservation.reset();
     }
   }
--- a/packages/dispatch/tests/account_limit_test.cc
+++ b/packages/dispatch/tests/account_limit_test.cc
@@ -107,6 +107,21 @@
   CheckNoViolation(pool);
 }
 
+// Fails when a large task that waits for a long run of its account holds back
+// the tasks that have room of the limit beside that run for as long.
+TEST(AccountLimit, LargeTaskBehindALongRunHoldsNoOtherForLong) {
+  FakePool pool({.task_time = kLongTask});
+  pool.SetAccounts({Account("limited", 10'000)});
+  pool.Submit("long", JobOfSize(1, 4'000), "limited");
+  pool.RunFor(Milliseconds(200));
+  pool.Submit("large", JobOfSize(1, 7'000), "limited");
+  pool.RunFor(Milliseconds(1'000));
+  pool.Submit("small", FakePool::Job(1, 1), "limited");
+  CHECK(pool.RunUntil([&] { return MillisOf(pool, "limited") == 5'000; },
+                      Milliseconds(3'000)));
+  CheckNoViolation(pool);
+}
+
 // Fails when some members of a gang start although the limit has no room for
 // all of them.
 TEST(AccountLimit, GangStartsWithAllMembersOrNone) {
--- a/packages/dispatch/tracked_account.h
+++ b/packages/dispatch/tracked_account.h
@@ -31,6 +31,7 @@
   ResourceAmounts size;
   // Updates of the ledger since the step was last found to wait.
   int updates = 0;
+  int age = 0;  // Updates since the reservation was made.
 };
 
 // The leader's record of one client account: its settings, and what its runs
@@ -70,6 +71,7 @@
   // have not reported yet.
   ResourceAmounts unreported;
   std::optional<LimitReservation> limit_reservation;
+  int reservation_pause = 0;  // Updates without a further reservation.
   // A task has waited for the limit since the last pass that tried all steps.
   bool limit_reached = false;
   bool limit_reached_before = false;
