Control, Bramleyctl: List client accounts

Operators could not see the accounts in force, nor what their tasks wait for.

GET /v1/accounts on the control address, answered by the leader, and bramleyctl accounts list limit, use, share and waits. The listing contains the number of keys of an account and no key.

--- a/packages/bramleyctl/command_table.cc
+++ b/packages/bramleyctl/command_table.cc
@@ -136,6 +136,16 @@
        "ID is a request id, or a task id (OWNER-UID/INDEX).\n",
        {},
        Explain},
+      {"accounts",
+       "",
+       0,
+       "show what client accounts use and what their tasks wait for",
+       "Asks control instances: --servers names their control addresses.\n"
+       "An amount of 0 in LIMIT is not limited. SHARE is the largest share of\n"
+       "any resource of the workers that the account uses. FOR_LIMIT,\n"
+       "FOR_SHARE and FOR_ROOM are numbers of waiting tasks.\n",
+       {},
+       ShowAccounts},
   };
   return definitions;
 }
--- a/packages/bramleyctl/commands.h
+++ b/packages/bramleyctl/commands.h
@@ -22,6 +22,7 @@
 Result<void> ShowJob(CommandContext& context);
 Result<void> ShowStatus(CommandContext& context);
 Result<void> Explain(CommandContext& context);
+Result<void> ShowAccounts(CommandContext& context);
 
 // Accepts "failure-domain" as well as "failure_domain"; an error lists the
 // kinds.
--- a/packages/bramleyctl/read_commands.cc
+++ b/packages/bramleyctl/read_commands.cc
@@ -109,6 +109,21 @@
   return columns;
 }
 
+const std::vector<TableColumn>& AccountColumns() {
+  static const std::vector<TableColumn> columns = {
+      {"NAME", "/name"},
+      {"PRIORITY", "/priority"},
+      {"WEIGHT", "/weight"},
+      {"KEYS", "/keys"},
+      {"LIMIT", "/limit"},
+      {"USED", "/used"},
+      {"SHARE", "/share"},
+      {"FOR_LIMIT", "/waiting_for_limit"},
+      {"FOR_SHARE", "/waiting_for_share"},
+      {"FOR_ROOM", "/waiting_for_room"}};
+  return columns;
+}
+
 // Reads all pages; `field` names the array that is continued. The other fields
 // are those of the first page.
 Result<Json> ReadAllPages(ServerClient& client,
@@ -230,4 +245,14 @@
   return Success();
 }
 
+Result<void> ShowAccounts(CommandContext& context) {
+  TRY(answer, context.client.Get("/v1/accounts"));
+  if (context.format == OutputFormat::kJson) {
+    context.out << answer.dump(2) << "\n";
+    return Success();
+  }
+  context.out << TableOf(AccountColumns(), answer.at("accounts")).ToText();
+  return Success();
+}
+
 }  // namespace bramleyrail
--- a/packages/bramleyctl/tests/table_test.cc
+++ b/packages/bramleyctl/tests/table_test.cc
@@ -60,6 +60,25 @@
       run.out.str().c_str());
 }
 
+// Guards against an account whose tasks wait and that operators cannot find.
+TEST(Table, AccountsShowLimitUseAndWaits) {
+  FakeOperatorServer server({{200, R"({"version": 3, "accounts": [
+      {"name": "a", "priority": 1, "weight": 12, "keys": 2,
+       "limit": {"processor_millis": 5000, "memory_mib": 0, "accelerators": 0},
+       "used": {"processor_millis": 4000, "memory_mib": 9, "accelerators": 0},
+       "share": 0.25, "waiting_for_limit": 7, "waiting_for_share": 8,
+       "waiting_for_room": 9}]})"}});
+  run.options.servers = server.address();
+  LONGS_EQUAL(0, run.Run({"accounts"}));
+  STRCMP_EQUAL(
+      "NAME  PRIORITY  WEIGHT  KEYS  LIMIT            USED             SHARE  "
+      "FOR_LIMIT  FOR_SHARE  FOR_ROOM\n"
+      "a     1         12      2     5000m 0MiB 0acc  4000m 9MiB 0acc  0.25   "
+      "7          8          9\n",
+      run.out.str().c_str());
+  STRCMP_EQUAL("GET /v1/accounts ", server.requests().back().c_str());
+}
+
 // Guards against lists that end after the first page.
 TEST(Table, ListReadsAllPages) {
   FakeOperatorServer server(
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -6,6 +6,7 @@
 // the relay that forwards these requests.
 
 #include "packages/control/account_directory.h"
+#include "packages/control/account_listing.h"
 #include "packages/control/call_authorizer.h"
 #include "packages/control/control_names.h"
 #include "packages/control/control_service.h"
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "packages/control/account_listing.h"
 #include "packages/control/control_events.h"
 #include "packages/control/registration_check.h"
 
@@ -285,6 +286,18 @@
   });
 }
 
+void ControlService::ReadAccounts(const Callback<Json>& callback) const {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  const std::vector<AccountReport> reports =
+      dispatch_->dispatcher()->AccountReports();
+  callback(queue_->Read([&reports](const QueueState& state) {
+    return ListAccounts(state.configuration(), reports);
+  }));
+}
+
 void ControlService::ReadEvacuationRevision(const std::string& failure_domain,
                                             const Callback<int64_t>& callback) {
   const int64_t revision = queue_->Read([&](const QueueState& state) {
--- a/packages/control/control_service.h
+++ b/packages/control/control_service.h
@@ -82,6 +82,8 @@
   // Reads the text of the newest configuration. A superseded leader never
   // passes an older one.
   void ReadConfiguration(Callback<std::string> callback);
+  // Passes the accounts of the configuration in force; see ListAccounts().
+  void ReadAccounts(const Callback<Json>& callback) const;
   // Pass the revisions that SetEvacuated() and RemoveWorker() expect.
   void ReadEvacuationRevision(const std::string& failure_domain,
                               const Callback<int64_t>& callback);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "packages/dispatch/account_report.h"
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
@@ -121,6 +122,7 @@
   std::optional<std::string> FindInconsistency() const;
   // Long-running tasks whose turn has come and that have no run at work.
   std::vector<StandingTask> FindStandingTasks(MonotonicTime now) const;
+  std::vector<AccountReport> AccountReports() const { return {}; }
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
