--- a/packages/bramleyraild/tests/process/client_memory_test.cc
+++ b/packages/bramleyraild/tests/process/client_memory_test.cc
@@ -204,8 +204,9 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(listener.number(), reinterpret_cast<const sockaddr*>(&address),
-       sizeof address);
+  LONGS_EQUAL(
+      0, bind(listener.number(), reinterpret_cast<const sockaddr*>(&address),
+              sizeof address));
   listen(listener.number(), 1);
   socklen_t size = sizeof address;
   getsockname(listener.number(), reinterpret_cast<sockaddr*>(&address), &size);
--- a/packages/http/fakes/raw_client.cc
+++ b/packages/http/fakes/raw_client.cc
@@ -56,9 +56,9 @@
   while (piece.size() < kPieceBytes) {
     piece += unit;
   }
-  for (size_t sent = 0; sent < size; sent += piece.size()) {
-    if (!Send(std::string_view(piece).substr(
-            0, std::min(piece.size(), size - sent)))) {
+  const std::string_view view = piece;
+  for (size_t sent = 0; sent < size; sent += view.size()) {
+    if (!Send(view.substr(0, std::min(view.size(), size - sent)))) {
       return false;
     }
   }
