Dispatch: Divide integers apart from the floating-point sum

clang-tidy reports the integer division inside the sum. The result is the same; the tests of the admission, of the history and of the worker selector pass.

--- a/packages/dispatch/short_work_need.cc
+++ b/packages/dispatch/short_work_need.cc
@@ -30,9 +30,8 @@
   double usable = 0;
   for (const Group& group : groups) {
     const int64_t size = std::max<int64_t>(group.size.processor_millis, 1);
-    usable +=
-        group.share *
-        static_cast<double>(std::max<int64_t>(free_millis, 0) / size * size);
+    const int64_t fitting = std::max<int64_t>(free_millis, 0) / size;
+    usable += group.share * static_cast<double>(fitting * size);
   }
   return usable;
 }
