--- a/packages/dispatch/pool_room.cc
+++ b/packages/dispatch/pool_room.cc
@@ -1,10 +1,9 @@
 #include "packages/dispatch/pool_room.h"
 
 #include <algorithm>
-#include <limits>
+#include <functional>
 #include <queue>
 #include <tuple>
-#include <utility>
 
 namespace bramleyrail {
 
--- a/packages/dispatch/short_work_history.h
+++ b/packages/dispatch/short_work_history.h
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <cstdint>
-#include <optional>
 
 #include "packages/base/base.h"
 #include "packages/dispatch/short_work_need.h"
