--- a/packages/dispatch/tests/long_running_admission_test.cc
+++ b/packages/dispatch/tests/long_running_admission_test.cc
@@ -145,7 +145,7 @@
   }
   // Short work has up to a half while both kinds need more than there is.
   CHECK(admitted_.size() * 2'000 <= kWorkers * kWorkerMillis / 2);
-  CHECK(admitted_.size() > 0);
+  CHECK(!admitted_.empty());
   CHECK(pool_.RunUntil(
       [this] {
         for (int i = 0; i < 200; ++i) {
