--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "packages/control/account_listing.h"
 #include "packages/control/control_events.h"
 #include "packages/control/registration_check.h"
 
@@ -104,9 +105,37 @@
   });
 }
 
+Result<CallAuthorization> ControlService::Authorize(
+    const QueuePath& path,
+    const CallerCredentials& credentials) {
+  const auto location = FindQueueLocation(path);
+  CallAuthorization authorization;
+  if (location) {
+    authorization = queue_->Read([&](const QueueState& state) {
+      const auto& [queue, job] = location.value();
+      return authorizer_.Decide(state.configuration(), queue,
+                                state.FindJob(job), credentials);
+    });
+  }
+  // Checked after the lookup: a newer leader may have stored a configuration
+  // that allows the call.
+  if (!IsLeaderNow()) {
+    return NotLeading();
+  }
+  if (!location) {
+    return location.error();
+  }
+  if (authorization.refusal) {
+    authorizer_.Report(*authorization.refusal, location.value().queue.name,
+                       authorization.account, std::chrono::steady_clock::now());
+  }
+  return authorization;
+}
+
 void ControlService::Submit(const QueuePath& path,
+                            std::string account,
                             JobSpecification job,
-                            Callback<void> callback) {
+                            Callback<SubmitAnswer> callback) {
   const auto location = FindQueueLocation(path);
   if (!IsLeaderNow() || !location) {
     callback(location ? NotLeading() : location.error());
@@ -130,20 +159,45 @@
   command.stretch_factor = queue.stretch_factor;
   command.target_latency_ms = queue.target_latency_ms;
   command.specification = std::move(job);
+  command.account = std::move(account);
+  const AdmissionDecision decision = dispatch_->Admit(command);
+  if (!decision.admitted) {
+    // A newer leader may have accepted the job meanwhile.
+    if (!IsLeaderNow()) {
+      callback(NotLeading());
+      return;
+    }
+    callback(SubmitAnswer{.retry_after = decision.retry_after});
+    return;
+  }
   const std::string id = command.id;
-  const auto log = [id,
+  const auto log = [id, account = command.account,
                     name = queue.name](const Result<QueueOutcome>& outcome) {
     if (outcome) {
-      LogEvent(
-          kJobAccepted,
-          {{"job", id}, {"queue", name}, {"new", outcome.value().changed}});
+      LogEvent(kJobAccepted, {{"job", id},
+                              {"queue", name},
+                              {"account", account},
+                              {"new", outcome.value().changed}});
     } else {
       LogEvent(kJobNotAccepted, {{"job", id},
                                  {"queue", name},
                                  {"error", outcome.error().ToString()}});
     }
   };
-  Propose(std::move(command), Acknowledge(log, std::move(callback)));
+  Propose(
+      std::move(command),
+      [this, id, log, leader_epoch = dispatch_->dispatcher()->leader_epoch(),
+       callback = std::move(callback)](const Result<QueueOutcome>& outcome) {
+        log(outcome);
+        if (outcome) {
+          callback(SubmitAnswer());
+          return;
+        }
+        if (outcome.error().kind == ErrorKind::kUnavailable) {
+          dispatch_->WithdrawAdmission(id, leader_epoch);
+        }
+        callback(outcome.error());
+      });
 }
 
 void ControlService::ReadJob(
@@ -255,6 +309,18 @@
   });
 }
 
+void ControlService::ReadAccounts(const Callback<Json>& callback) const {
+  if (!IsLeaderNow()) {
+    callback(NotLeading());
+    return;
+  }
+  const std::vector<AccountReport> reports =
+      dispatch_->dispatcher()->AccountReports();
+  callback(queue_->Read([&reports](const QueueState& state) {
+    return ListAccounts(state.configuration(), reports);
+  }));
+}
+
 void ControlService::ReadEvacuationRevision(const std::string& failure_domain,
                                             const Callback<int64_t>& callback) {
   const int64_t revision = queue_->Read([&](const QueueState& state) {
--- a/packages/control/control_service.h
+++ b/packages/control/control_service.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <utility>
 
+#include "packages/control/call_authorizer.h"
 #include "packages/control/dispatch_loop.h"
 #include "packages/control/replicated_queue.h"
 #include "packages/http/http.h"
@@ -20,6 +21,13 @@
 // State of a job as reported to its submitter.
 enum class JobStatus { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
+// Answer to a submitted job.
+struct SubmitAnswer {
+  // Set when the job was rejected for want of room and is not stored: when the
+  // caller may submit it again.
+  std::optional<Milliseconds> retry_after;
+};
+
 // Contents of a worker's heartbeat.
 struct WorkerHeartbeat {
   WorkerRegistration registration;
@@ -53,11 +61,20 @@
   // True when this instance leads and has taken over.
   bool leads() const { return dispatch_->dispatcher() != nullptr; }
 
-  // Submits a job. The part of the path after the queue's prefix is the id of
-  // the job.
+  // Decides whether a call of a client may be executed; every other method for
+  // callers is for calls that were allowed.
+  Result<CallAuthorization> Authorize(const QueuePath& path,
+                                      const CallerCredentials& credentials);
+  uint64_t refused_calls(CallRefusal refusal) const {
+    return authorizer_.refusals(refusal);
+  }
+
+  // Submits a job for an account; empty: none. The part of the path after the
+  // queue's prefix is the id of the job.
   void Submit(const QueuePath& path,
+              std::string account,
               JobSpecification job,
-              Callback<void> callback);
+              Callback<SubmitAnswer> callback);
   // Passes nullopt when the job is unknown.
   void ReadJob(const QueuePath& path,
                const Callback<std::optional<JobStatus>>& callback);
@@ -72,6 +89,8 @@
   // Reads the text of the newest configuration. A superseded leader never
   // passes an older one.
   void ReadConfiguration(Callback<std::string> callback);
+  // Passes the accounts of the configuration in force; see ListAccounts().
+  void ReadAccounts(const Callback<Json>& callback) const;
   // Pass the revisions that SetEvacuated() and RemoveWorker() expect.
   void ReadEvacuationRevision(const std::string& failure_domain,
                               const Callback<int64_t>& callback);
@@ -108,6 +127,7 @@
   DispatchLoop* const dispatch_;
   const std::set<std::string> failure_domains_;
   const std::shared_ptr<bool> alive_;
+  CallAuthorizer authorizer_;
   // Start of the incarnation and sequence number of each worker's newest
   // heartbeat.
   std::map<std::string, std::pair<int64_t, int64_t>> heartbeats_;
--- a/packages/control/leader_relay.cc
+++ b/packages/control/leader_relay.cc
@@ -25,13 +25,35 @@
 constexpr int64_t kRetryAfterSeconds = 1;
 
 // HTTP status codes.
+constexpr int kStatusRejected = 429;
 constexpr int kStatusNotExecuted = 503;
 constexpr int kStatusOutcomeUnknown = 504;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusForbidden = 403;
+constexpr int kStatusNotFound = 404;
+
+// Whether an earlier attempt may have been executed although this one got the
+// status: an attempt that arrives late may be accepted, and another
+// configuration may have allowed it. The caller must not be told then that the
+// request never takes effect.
+bool MayFollowExecution(std::string_view method, int64_t status) {
+  const bool refused_by_configuration = status == kStatusUnauthorized ||
+                                        status == kStatusForbidden ||
+                                        status == kStatusNotFound;
+  return status == kStatusRejected ||
+         (method != "GET" && refused_by_configuration);
+}
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
 }
 
+HttpResponse OutcomeUnknown() {
+  return {
+      .status = kStatusOutcomeUnknown,
+      .body = R"({"error":"the outcome is not known; repeat the request"})"};
+}
+
 }  // namespace
 
 struct LeaderRelay::Exchange {
@@ -166,6 +188,12 @@
     return;
   }
   leader_ = peer;
+  if (exchange->maybe_executed &&
+      MayFollowExecution(exchange->request.method, relayed.status)) {
+    exchange->last_error = absl::StrCat(peer, ": status ", relayed.status);
+    HandleTimeout(exchange);
+    return;
+  }
   ++counters_.responses;
   exchange->respond(FromRelayed(std::move(relayed)));
 }
@@ -183,18 +211,16 @@
        {"outcome", unknown ? std::string_view("unknown")
                            : std::string_view("not_executed")},
        {"last_error", exchange->last_error}});
-  HttpResponse response;
   if (unknown) {
-    response.status = kStatusOutcomeUnknown;
-    response.body =
-        R"({"error":"the outcome is not known; repeat the request"})";
-  } else {
-    response.status = kStatusNotExecuted;
-    response.body =
-        R"({"error":"no leader is available; the request was not executed"})";
-    response.headers.emplace_back("Retry-After",
-                                  absl::StrCat(kRetryAfterSeconds));
+    exchange->respond(OutcomeUnknown());
+    return;
   }
+  HttpResponse response;
+  response.status = kStatusNotExecuted;
+  response.body =
+      R"({"error":"no leader is available; the request was not executed"})";
+  response.headers.emplace_back("Retry-After",
+                                absl::StrCat(kRetryAfterSeconds));
   exchange->respond(std::move(response));
 }
 
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -53,9 +53,16 @@
     9220, LogSeverity::kWarning, "worker_crash_counted"};
 inline constexpr LogEventDefinition kCrashSuspected{9225, LogSeverity::kInfo,
                                                     "crash_suspected"};
+inline constexpr LogEventDefinition kAccountLimitReached{
+    9230, LogSeverity::kInfo, "account_limit_reached"};
 inline constexpr LogEventDefinition kUnansweredStart{9223, LogSeverity::kInfo,
                                                      "unanswered_start"};
 
+inline constexpr LogEventDefinition kLongRunningRejected{
+    9240, LogSeverity::kInfo, "long_running_rejected"};
+inline constexpr LogEventDefinition kLongRunningAdmitted{
+    9241, LogSeverity::kInfo, "long_running_admitted"};
+
 }  // namespace bramleyrail
 
 #endif  // PACKAGES_DISPATCH_DISPATCH_EVENTS_H_
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -64,6 +64,10 @@
     longest_earlier_lease_ =
         std::min(options_.maximum_lease, Milliseconds(*longest_ms));
   }
+  accounts_.Configure(state.configuration());
+  if (!synchronized_) {
+    accounts_.earlier_runs().Begin(state);
+  }
   if (workers_revision_ != state.workers_revision()) {
     workers_revision_ = state.workers_revision();
     SynchronizeWorkers(state, now);
@@ -185,6 +189,7 @@
                                 ? TrackedJob::EarlierRuns::kUnrecorded
                                 : TrackedJob::EarlierRuns::kRecorded;
   auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs);
+  tracked->account = accounts_.Find(tracked->job().account);
   if (!synchronized_) {
     TrackRecordedRuns(state, tracked.get());
   }
@@ -195,6 +200,7 @@
                          {"objective_unix_ms", tracked->ObjectiveUnixMs(0)},
                          {"new", synchronized_}});
   releases_.emplace(*tracked->NextReleaseUnixMs(), id);
+  admission_.MarkTracked(id);
   jobs_.emplace(id, std::move(tracked));
 }
 
@@ -203,8 +209,10 @@
                           MonotonicTime now) {
   LogEvent(kJobClosed, {{"job", id}, {"reason", reason}});
   const auto closed = jobs_.find(id);
+  admission_.AddEndedJob(closed->second->job(), now);
   counters_.ready_task_visits += ready_.RemoveJob(closed->second.get());
   StopRunsOfEndedJob(*closed->second, now);
+  accounts_.earlier_runs().AddEndedJob(closed->second->shared_job());
   if (const auto next = closed->second->NextReleaseUnixMs()) {
     releases_.erase({*next, id});
   }
@@ -235,6 +243,14 @@
   for (const TaskName& task : tasks) {
     ready_.Add(job, task, unix_ms_);
   }
+  for (auto first = tasks.begin(); first != tasks.end();) {
+    const auto next = std::find_if(first, tasks.end(), [&](const auto& task) {
+      return task.step != first->step || task.occurrence != first->occurrence;
+    });
+    admission_.short_work().AddReadyTasks(job->job(), job->step(*first),
+                                          next - first, last_step_);
+    first = next;
+  }
 }
 
 std::vector<WorkerOrder> Dispatcher::Step(const QueueState& state,
@@ -247,6 +263,7 @@
   ObserveLag(now);
   SendRecordedStarts(now);
   ReleaseDueJobs();
+  admission_.short_work().Refresh(now);
   StepWorkers(now);
   PlaceReadyTasks(state, now);
   ReportStandingTasks(now);
@@ -314,6 +331,7 @@
   tracked.job = job->shared_job();
   tracked.step = &step;
   tracked.reserved = step.size;
+  tracked.charge = accounts_.Charge(job->account, step);
   tracked.payload = job->payload();
   TaskName source = task;
   source.index = step.gang ? 0 : task.index;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -11,11 +11,13 @@
 #include <utility>
 #include <vector>
 
+#include "packages/dispatch/account_ledger.h"
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
 #include "packages/dispatch/largest_waiting_task.h"
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/long_running_admission.h"
 #include "packages/dispatch/placement_pass.h"
 #include "packages/dispatch/ready_steps.h"
 #include "packages/dispatch/run_time_estimator.h"
@@ -98,6 +100,12 @@
                     int64_t clock_ms,
                     MonotonicTime now);
 
+  // Decides whether a job that is handed in is accepted.
+  AdmissionDecision Admit(const QueueState& state,
+                          const SubmitJob& job,
+                          MonotonicTime now);
+  LongRunningAdmission& admission() { return admission_; }
+
   // Withdrawn workers of the state that run no task any more.
   std::vector<WorkerIncarnation> EndedWithdrawals(
       const QueueState& state) const;
@@ -122,6 +130,7 @@
   std::optional<std::string> FindInconsistency() const;
   // Long-running tasks whose turn has come and that have no run at work.
   std::vector<StandingTask> FindStandingTasks(MonotonicTime now) const;
+  std::vector<AccountReport> AccountReports() const;
   // Longest time for which a step has found no worker for any task.
   Milliseconds longest_wait() const { return longest_wait_; }
 
@@ -160,6 +169,13 @@
   bool IsHeldByTakeover(TrackedJob* job,
                         const TaskName& step,
                         MonotonicTime now) const;
+  // Whether the limit of the account of the job has no room for the task.
+  bool IsHeldByLimit(const TrackedJob& job, const TaskName& task) const;
+  void HoldForLimit(TrackedJob* job, const TaskName& task, MonotonicTime now);
+  // Call when the step has waited for the limit, and does no more.
+  static void EndLimitWait(TrackedJob* job,
+                           const TaskName& task,
+                           MonotonicTime now);
   // Places the ready tasks of the job step that `task` names.
   void PlaceStep(TaskName task,
                  TrackedJob* job,
@@ -404,6 +420,7 @@
   const WorkerSelector selector_;
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
+  LongRunningAdmission admission_;
   TrackedWorkers workers_;
   // Ids of workers that may have crashed.
   std::set<std::string> suspected_workers_;
@@ -414,6 +431,7 @@
   ReadySteps ready_;
   RunTimeEstimator run_times_;
   LargestWaitingTask largest_waiting_;
+  AccountLedger accounts_;
   // When the next occurrence of a job is due, and the job.
   std::set<std::pair<int64_t, std::string>> releases_;
   std::vector<WorkerOrder> orders_;
--- a/packages/dispatch/dispatcher_placement.cc
+++ b/packages/dispatch/dispatcher_placement.cc
@@ -31,6 +31,21 @@
 // of them.
 constexpr Milliseconds kContactTime{500};
 
+// Whether the rank of the account of a step has risen beyond that of the next
+// step. `position` is the place of the step in the order, perhaps a former one.
+bool IsOvertaken(const ReadySteps& ready,
+                 const TrackedJob& job,
+                 const ReadySteps::Key& position) {
+  const AccountRank rank = job.account_rank();
+  if (rank == position.account_rank) {
+    return false;
+  }
+  const auto next = ready.steps().upper_bound(position);
+  return next != ready.steps().end() &&
+         next->first.priority == position.priority &&
+         next->first.account_rank < rank;
+}
+
 }  // namespace
 
 bool Dispatcher::IsHeldByTakeover(TrackedJob* job,
@@ -55,6 +70,7 @@
                      .attempts_left = kMaximumAttemptsPerStep};
   const bool retries_all = now >= next_resume_;
   if (retries_all) {
+    accounts_.Update(workers_, ready_, now);
     ready_.Resume(unix_ms_);
     next_resume_ = now + kPlacementRetryInterval;
     longest_wait_ = Milliseconds(0);
@@ -62,10 +78,16 @@
   for (auto position = ready_.steps().begin();
        position != ready_.steps().end() && !pass.IsOver();) {
     // Placing the last ready task of the step removes its entry.
-    const auto& [key, job] = *position++;
-    const TrackedStep& step = job->step_record(key.occurrence, key.step);
-    longest_wait_ = std::max(longest_wait_, step.WaitTime(now));
+    const ReadySteps::Key& key = position->first;
     const TaskName first{key.job, key.occurrence, key.step, 0};
+    TrackedJob* const job = position->second;
+    ++position;
+    longest_wait_ =
+        std::max(longest_wait_, job->step_record(first).WaitTime(now));
+    if (const auto next = ready_.UpdateAccountRank(job, first)) {
+      position = *next;
+      continue;
+    }
     if (!IsHeldByTakeover(job, first, now)) {
       const auto [pool, added] = pass.eligible.try_emplace(job->job().pool);
       if (added) {
@@ -73,12 +95,16 @@
                                                     state.evacuated(), now);
       }
       PlaceStep(first, job, pool->second, &pass);
+      // The account may have reached the next level of its share.
+      position = ready_.UpdateAccountRank(job, first).value_or(position);
     }
   }
   if (retries_all) {
-    start_planner_.Update(
-        {pass, workers_, ready_.deferred_steps(),
-         [this](std::string_view id) { return FindJob(id); }});
+    start_planner_.Update({pass, workers_, ready_.deferred_steps(),
+                           [this](std::string_view id) { return FindJob(id); },
+                           [this](const TrackedJob& job, const TaskName& task) {
+                             return IsHeldByLimit(job, task);
+                           }});
   }
 }
 
@@ -94,6 +120,7 @@
   std::optional<WorkerRanking> ranking;
   bool held_after_crash = false;
   bool without_worker = false;
+  bool held_by_limit = false;
   // Placing a task removes its index, or those of its gang.
   for (auto index = step.ready_tasks.begin();
        index != step.ready_tasks.end() && !pass->IsOver();
@@ -108,6 +135,15 @@
       held_after_crash = true;
       continue;
     }
+    // The tasks of a step have the same size.
+    held_by_limit = IsHeldByLimit(*job, task);
+    if (held_by_limit) {
+      HoldForLimit(job, task, now);
+      break;
+    }
+    if (step.limited_since) {
+      EndLimitWait(job, task, now);
+    }
     const bool suspected = IsSuspected(job, task, now);
     if (suspected && without_worker) {
       continue;
@@ -136,12 +172,20 @@
         selection.protection) {
       ranking.reset();
     }
-  }
-  if (without_worker) {
-    if (!job->step(task).best_effort) {
-      largest_waiting_.Add(job->job().pool,
-                           job->step(task).size.processor_millis, now);
+    // A step whose account has no competitor keeps its ranking of workers.
+    if (job->account_rank() != step.account_rank &&
+        IsOvertaken(ready_, *job,
+                    {job->job().priority, step.account_rank, step.lateness,
+                     job->ObjectiveUnixMs(task.occurrence), task.job,
+                     task.occurrence, task.step})) {
+      break;
     }
+  }
+  if (without_worker && !job->step(task).best_effort) {
+    largest_waiting_.Add(job->job().pool, job->step(task).size.processor_millis,
+                         now);
+  }
+  if (without_worker || held_by_limit) {
     ready_.Defer(job, task);
   }
   if (!held_after_crash) {
@@ -242,7 +286,8 @@
           suspected && now - job->task(task).not_before < kMaximumIsolationWait,
           now,
           LongestDuration(job->job(), step),
-          largest_waiting_.Find(job->job().pool, now)};
+          largest_waiting_.Find(job->job().pool, now),
+          admission_.FindNeed(job->job(), step)};
 }
 
 std::optional<Milliseconds> Dispatcher::LongestDuration(
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -215,8 +215,13 @@
     worker->isolated_until = {};
   }
   if (tracked != nullptr && tracked->step != nullptr &&
-      !tracked->step->long_running && finished.outcome == RunOutcome::kDone) {
-    RecordRunTime(*tracked, now);
+      finished.outcome == RunOutcome::kDone) {
+    if (!tracked->step->long_running) {
+      RecordRunTime(*tracked, now);
+    }
+    admission_.short_work().AddFinishedRun(
+        *tracked->job, *tracked->step,
+        std::chrono::floor<Milliseconds>(now - tracked->started), now);
   }
   worker->RemoveRun(key);
   LogEvent(kRunEnded, {{"task", finished.task.ToString()},
@@ -366,6 +371,7 @@
   run.measurement = reported.measurement;
   run.phase = RunPhase::kRunning;
   if (job == nullptr || !job->HasTask(reported.task)) {
+    accounts_.ChargeRunOfEndedJob(reported.task, &run);
     SendStop(worker, key, &worker->AddRun(key, std::move(run)),
              "the job is not open", now);
     return;
@@ -377,6 +383,7 @@
   run.reserved = step.size;
   run.expected_end =
       now + LongestDuration(job->job(), step).value_or(Milliseconds(0));
+  run.charge = accounts_.Charge(job->account, step);
   job->workers.insert(worker->registration().id);
   TrackedRun& added = worker->AddRun(key, std::move(run));
   const bool startable = tracked_task.phase == TaskPhase::kReady ||
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -53,14 +53,32 @@
   return job;
 }
 
-void FakePool::Submit(const std::string& id, JobSpecification job) {
+void FakePool::Submit(const std::string& id,
+                      JobSpecification job,
+                      const std::string& account) {
+  SubmitJob command = MakeSubmission(id, std::move(job));
+  command.account = account;
+  Apply(std::move(command));
+}
+
+bool FakePool::HandIn(const std::string& id, JobSpecification job) {
+  SubmitJob command = MakeSubmission(id, std::move(job));
+  if (!dispatcher_->Admit(state_, command, now_).admitted) {
+    return false;
+  }
+  Apply(std::move(command));
+  return true;
+}
+
+SubmitJob FakePool::MakeSubmission(const std::string& id,
+                                   JobSpecification job) {
   SubmitJob command;
   command.id = id;
   command.queue = "queue";
   command.pool = "pool";
   command.maximum_attempts = kMaximumAttempts;
   command.specification = std::move(job);
-  Apply(std::move(command));
+  return command;
 }
 
 void FakePool::Apply(QueueCommandBody body) {
@@ -235,6 +253,7 @@
   run.gang_members = options_.ends_gangs && step.gang ? step.tasks : 0;
   Run& added = worker->runs[key] = run;
   JoinGang(key, &added);
+  CheckLimit(job->account);
   return OrderOutcome::kAccepted;
 }
 
--- a/packages/dispatch/start_planner.cc
+++ b/packages/dispatch/start_planner.cc
@@ -199,7 +199,8 @@
   TrackedJob* job = view.find_job(first.job);
   if (job == nullptr ||
       job->step_record(first).ready_tasks.size() <= CountPlans(first) ||
-      WorkerSelector::IsAtTaskLimit(*worker, job->step(first), first)) {
+      WorkerSelector::IsAtTaskLimit(*worker, job->step(first), first) ||
+      view.is_held(*job, first)) {
     return End::kNotNeeded;
   }
   if (pass.now - plan.planned >= kMaximumPlan) {
@@ -258,7 +259,7 @@
     const View& view) {
   const MonotonicTime now = view.pass.now;
   TrackedJob* job = view.find_job(first.job);
-  if (!job->AreAllTasksReady(first)) {
+  if (!job->AreAllTasksReady(first) || view.is_held(*job, first)) {
     return End::kNotNeeded;
   }
   const JobStep& step = job->step(first);
@@ -307,7 +308,7 @@
   const TrackedStep& record = job->step_record(first);
   const auto pool = view.pass.eligible.find(job->job().pool);
   if (pool == view.pass.eligible.end() ||
-      record.WaitTime(now) < kPlanningWait) {
+      record.WaitTime(now) < kPlanningWait || view.is_held(*job, first)) {
     return;
   }
   // A best-effort task needs no processors of its own, and a late job gives way
--- a/packages/dispatch/start_planner.h
+++ b/packages/dispatch/start_planner.h
@@ -31,6 +31,8 @@
     const TrackedWorkers& workers;
     const ReadySteps::Map& waiting;
     std::function<TrackedJob*(std::string_view)> find_job;
+    // Whether the limit of the account of the job holds the step back.
+    std::function<bool(const TrackedJob&, const TaskName&)> is_held;
   };
 
   // Adds to `counters`, which outlive the planner.
--- a/packages/dispatch/tracked_worker.h
+++ b/packages/dispatch/tracked_worker.h
@@ -11,6 +11,7 @@
 
 #include "packages/dispatch/best_effort_estimate.h"
 #include "packages/dispatch/planned_start.h"
+#include "packages/dispatch/tracked_account.h"
 #include "packages/dispatch/worker_order.h"
 
 namespace bramleyrail {
@@ -41,6 +42,8 @@
   std::shared_ptr<const QueuedJob> job;
   const JobStep* step = nullptr;
   ResourceAmounts reserved;
+  // Counts the run against the account of its job; null: none is counted.
+  std::shared_ptr<const AccountCharge> charge;
   MonotonicTime started;  // Or taken over from an earlier leader.
   // By a high estimate, when the run began; without use for a long-running one.
   MonotonicTime expected_end;
@@ -141,6 +144,10 @@
   std::map<RunKey, TrackedRun>& runs() { return runs_; }
   const std::map<RunKey, TrackedRun>& runs() const { return runs_; }
   const ResourceAmounts& reserved() const { return reserved_; }
+  // The part of `reserved` that long-running runs take.
+  const ResourceAmounts& reserved_for_long() const {
+    return reserved_for_long_;
+  }
   // Whether a run is active whose job is not open, and which therefore is not
   // part of `reserved`.
   bool HasRunOfUnknownSize() const { return runs_of_unknown_size_ > 0; }
@@ -234,6 +241,7 @@
   std::optional<MonotonicTime> assumed_until_;
   std::map<RunKey, TrackedRun> runs_;
   ResourceAmounts reserved_;
+  ResourceAmounts reserved_for_long_;
   int64_t runs_of_unknown_size_ = 0;
   int64_t best_effort_processor_millis_ = 0;
 };
--- a/packages/dispatch/worker_selector.h
+++ b/packages/dispatch/worker_selector.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "packages/dispatch/latency_interference_model.h"
+#include "packages/dispatch/short_work_need.h"
 #include "packages/dispatch/tracked_worker.h"
 
 namespace bramleyrail {
@@ -39,6 +40,8 @@
   std::optional<Milliseconds> longest_duration;
   // The room for a task of this size is kept, if possible; 0: none waits.
   int64_t largest_waiting_millis = 0;
+  // Short work that needs room beside a long-running task; null: none.
+  const ShortWorkNeed* short_work = nullptr;
 };
 
 // How many workers could not run a task, by the first reason that was found.
