Dispatch: Plan starts for long-running steps, and for others where a setting asks

Plans for steps that end by themselves collect room that stands empty until the start. The setting plan_ending_steps turns the other plans on; the tests of such plans run with it.

--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -161,6 +161,7 @@
     options.dispatcher.maximum_lease = settings_.maximum_lease;
     options.dispatcher.lease =
         std::min(settings_.maximum_lease - kLeaseReserve, kLongestLease);
+    options.dispatcher.plans_ending_steps = settings_.plan_ending_steps;
     options.job_retention = settings_.job_retention * 2;
     options.clients = {.orders = &orders_, .renewals = &renewals_};
     options.call_worker = hooks_.worker_caller(options.clients);
--- a/packages/bramleyraild/role_settings.cc
+++ b/packages/bramleyraild/role_settings.cc
@@ -164,6 +164,8 @@
       ReadDuration(&reader, "stop_deadline_ms", settings.stop_deadline);
   settings.job_retention =
       ReadDuration(&reader, "job_retention_ms", settings.job_retention);
+  settings.plan_ending_steps =
+      reader.Boolean("plan_ending_steps", Presence::kOptional).value_or(false);
   settings.tolerated_losses =
       reader.Integer("tolerated_losses", Presence::kOptional, kToleratedRange)
           .value_or(settings.tolerated_losses);
--- a/packages/bramleyraild/role_settings.h
+++ b/packages/bramleyraild/role_settings.h
@@ -38,6 +38,7 @@
   Milliseconds maximum_lease{6'000};
   Milliseconds stop_deadline{6'000};
   Milliseconds job_retention{120'000};
+  bool plan_ending_steps = false;
   // Control instances that may be lost at the same time, with their disks.
   int64_t tolerated_losses = 1;
   // Descriptors that the process may open; 0: as many as the machine allows.
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -26,7 +26,8 @@
       leader_epoch_(leader_epoch),
       takeover_time_(now),
       longest_earlier_lease_(options_.maximum_lease),
-      selector_(options_.placement) {}
+      selector_(options_.placement),
+      start_planner_(options_.plans_ending_steps, &counters_) {}
 
 TrackedWorker* Dispatcher::FindWorker(const WorkerAddress& address) {
   const auto found = workers_.find(address.id);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -46,6 +46,9 @@
     // How long a worker may delay its response to a lease renewal while no run
     // finishes.
     Milliseconds renewal_wait{1'000};
+    // Starts are planned for steps that end by themselves, too. The room that
+    // such a plan collects stands empty until the start.
+    bool plans_ending_steps = false;
   };
 
   using FinishedRunBatch = DispatchedFinishedRuns;
@@ -459,7 +462,7 @@
   bool held_runs_reported_ = false;
   bool superseded_ = false;
   Counters counters_;
-  StartPlanner start_planner_{&counters_};
+  StartPlanner start_planner_;
 };
 
 }  // namespace bramleyrail
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -103,6 +103,7 @@
                                      options_.lease.count()}});
   Dispatcher::Options options;
   options.lease = options_.lease;
+  options.plans_ending_steps = options_.plans_ending_steps;
   options.maximum_lease = options_.lease + Milliseconds(500);
   dispatcher_ =
       std::make_unique<Dispatcher>(options, outcome.leader_epoch, now_);
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -52,6 +52,7 @@
     // Whether the members of gangs end with each other, or when the others
     // don't come, as the workers' protocol says.
     bool ends_gangs = false;
+    bool plans_ending_steps = false;  // See Dispatcher::Options.
   };
 
   // What is lost between the leader and one worker. Heartbeats arrive.
--- a/packages/dispatch/start_planner.cc
+++ b/packages/dispatch/start_planner.cc
@@ -313,8 +313,8 @@
   }
   // A best-effort task needs no processors of its own, and a late job gives way
   // to those that can still end in time.
-  if (!step.long_running &&
-      (step.best_effort || record.lateness != Lateness::kOnTime)) {
+  if (!step.long_running && (!plans_ending_steps_ || step.best_effort ||
+                             record.lateness != Lateness::kOnTime)) {
     return;
   }
   const auto gang = planned_gangs_.find({pool->first, step.long_running});
--- a/packages/dispatch/start_planner.h
+++ b/packages/dispatch/start_planner.h
@@ -35,8 +35,10 @@
     std::function<bool(const TrackedJob&, const TaskName&)> is_held;
   };
 
-  // Adds to `counters`, which outlive the planner.
-  explicit StartPlanner(DispatcherCounters* counters) : counters_(counters) {}
+  // Without `plans_ending_steps`, plans for long-running steps only. Adds to
+  // `counters`, which outlive the planner.
+  StartPlanner(bool plans_ending_steps, DispatcherCounters* counters)
+      : plans_ending_steps_(plans_ending_steps), counters_(counters) {}
 
   // Ends plans that are of no use any more, moves the others to what is
   // expected now, and plans for the steps that wait. Call after a pass that has
@@ -94,6 +96,7 @@
             MonotonicTime now);
   size_t CountPlans(const TaskName& first) const;
 
+  const bool plans_ending_steps_;
   DispatcherCounters* const counters_;
   // By the first task of a step, how many workers have a plan for it.
   std::map<TaskName, size_t> plans_;
--- a/packages/dispatch/tests/busy_pool.h
+++ b/packages/dispatch/tests/busy_pool.h
@@ -31,7 +31,8 @@
       : options_(options),
         pool_({.workers = workers,
                .task_time = kTaskTime,
-               .stamps_commands = options.objective_ms > 0}),
+               .stamps_commands = options.objective_ms > 0,
+               .plans_ending_steps = options.objective_ms > 0}),
         interval_(kTaskTime / (workers * kSmallTasksPerWorker)) {
     RunFor(2 * kTaskTime);
   }
