--- a/packages/control/tests/call_authorizer_test.cc
+++ b/packages/control/tests/call_authorizer_test.cc
@@ -26,7 +26,7 @@
 
 TEST_GROUP(CallAuthorizer) {
   QueueConfiguration configuration_ = Configuration(1, {"key-1", "key-2"});
-  const JobQueue queue_;
+  const JobQueue queue_{};
   const JobQueue public_queue_{.is_public = true};
   CallAuthorizer authorizer_;
 
