--- a/packages/control/tests/call_authorizer_test.cc
+++ b/packages/control/tests/call_authorizer_test.cc
@@ -8,8 +8,13 @@
 
 using Kind = CallerCredentials::Kind;
 
-const CallerCredentials kNone;
-const CallerCredentials kUnreadable{Kind::kUnreadable, ""};
+CallerCredentials NoCredentials() {
+  return {};
+}
+
+CallerCredentials UnreadableCredentials() {
+  return {Kind::kUnreadable, ""};
+}
 
 CallerCredentials Key(std::string key) {
   return {Kind::kKey, std::move(key)};
@@ -50,18 +55,18 @@
         std::string(), std::string("key-1\0", 6), std::string(10'000, 'k')}) {
     CHECK(Decide(queue_, Key(key)).refusal == CallRefusal::kUnknownKey);
   }
-  CHECK(Decide(queue_, kNone).refusal == CallRefusal::kNoKey);
-  CHECK(Decide(queue_, kUnreadable).refusal ==
+  CHECK(Decide(queue_, NoCredentials()).refusal == CallRefusal::kNoKey);
+  CHECK(Decide(queue_, UnreadableCredentials()).refusal ==
         CallRefusal::kUnreadableCredentials);
 }
 
 // Fails when a public queue needs a key, serves a key that no account holds, or
 // does not attribute a job to the account whose key was sent.
 TEST(CallAuthorizer, PublicQueueNeedsNoKeyButNoFalseOne) {
-  CHECK(!Decide(public_queue_, kNone).refusal);
+  CHECK(!Decide(public_queue_, NoCredentials()).refusal);
   STRCMP_EQUAL("a", Decide(public_queue_, Key("key-1")).account.c_str());
   CHECK(Decide(public_queue_, Key("x")).refusal == CallRefusal::kUnknownKey);
-  CHECK(Decide(public_queue_, kUnreadable).refusal.has_value());
+  CHECK(Decide(public_queue_, UnreadableCredentials()).refusal.has_value());
 }
 
 // Fails when the index of an earlier version is used: revoked keys would go on
@@ -93,21 +98,21 @@
   QueuedJob job;
   job.queue = "private";
   job.account = "a";
-  CHECK(Decide(queue, kNone, &job).refusal == CallRefusal::kNoKey);
+  CHECK(Decide(queue, NoCredentials(), &job).refusal == CallRefusal::kNoKey);
   CHECK(Decide(queue, Key("key-of-b"), &job).refusal ==
         CallRefusal::kOtherAccount);
   CHECK(!Decide(queue, Key("key-1"), &job).refusal);
   job.queue = "removed";
-  CHECK(Decide(queue, kNone, &job).refusal == CallRefusal::kNoKey);
+  CHECK(Decide(queue, NoCredentials(), &job).refusal == CallRefusal::kNoKey);
   job.queue = "public";
-  CHECK(!Decide(queue, kNone, &job).refusal);
+  CHECK(!Decide(queue, NoCredentials(), &job).refusal);
 }
 
 // Fails when a deployment without accounts looks at credentials.
 TEST(CallAuthorizer, WithoutAccountsEveryCallIsAllowed) {
   configuration_.accounts.clear();
   for (const CallerCredentials& credentials :
-       {kNone, kUnreadable, Key("key-1")}) {
+       {NoCredentials(), UnreadableCredentials(), Key("key-1")}) {
     const CallAuthorization authorization = Decide(queue_, credentials);
     CHECK(!authorization.refusal);
     CHECK(authorization.account.empty());
