--- a/review/harness-3/deployment.cc
+++ b/review/harness-3/deployment.cc
@@ -195,7 +195,8 @@
 
 Deployment::Deployment(const std::string& repository,
                        int executors,
-                       Record* record)
+                       Record* record,
+                       const ChangeSettings& change)
     : repository_(repository), record_(record) {
   char folder[] = "/tmp/review-3-XXXXXX";
   if (mkdtemp(folder) == nullptr) {
@@ -215,6 +216,9 @@
       settings.control_ips.push_back(Ip(1 + node));
     }
     settings.control_port = kControlPort;
+    if (change) {
+      change(number, &settings);
+    }
     executors_.push_back(std::make_unique<Executor>(settings, record));
   }
 }
--- a/review/harness-3/deployment.h
+++ b/review/harness-3/deployment.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -56,7 +57,12 @@
 class Deployment {
  public:
   // `repository` is its root, with the built program and the template.
-  Deployment(const std::string& repository, int executors, Record* record);
+  // Changes the settings of an executor by its number.
+  using ChangeSettings = std::function<void(int, ExecutorSettings*)>;
+  Deployment(const std::string& repository,
+             int executors,
+             Record* record,
+             const ChangeSettings& change = {});
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/review/harness-3/executor.cc
+++ b/review/harness-3/executor.cc
@@ -46,6 +46,7 @@
 Executor::~Executor() {
   record_->Write("executor " + settings_.ip + " is taken away at the end");
   Crash();
+  server_.reset();
   quit_ = true;
   changed_.notify_all();
   worker_.join();
@@ -53,8 +54,25 @@
 }
 
 void Executor::Start() {
+  Begin(NewId());
+}
+
+void Executor::StartAgain() {
+  Begin(id_);
+}
+
+void Executor::DelayNextHold(int64_t ms) {
+  hold_delay_ms_ = ms;
+}
+
+History Executor::CopyHistory() {
   std::lock_guard lock(mutex_);
-  id_ = NewId();
+  return history_;
+}
+
+void Executor::Begin(std::string id) {
+  std::lock_guard lock(mutex_);
+  id_ = std::move(id);
   born_ = UnixMs();
   epoch_ = Clock::now();
   sequence_ = 0;
@@ -64,17 +82,43 @@
   runs_.clear();
   highest_ended_.clear();
   ends_.clear();
+  acknowledged_ = 0;
   up_ = true;
-  server_ = std::make_unique<HttpServer>(
-      settings_.ip, settings_.port, [this, id = id_](const Request& request) {
-        {
-          std::lock_guard inner(mutex_);
-          if (!up_ || id != id_) {
-            return Response{};
+  if (settings_.closes_connections && server_ == nullptr) {
+    server_ = std::make_unique<HttpServer>(
+        settings_.ip, settings_.port,
+        [this](const Request& request) {
+          const int64_t delay =
+              request.target == "/hold" ? hold_delay_ms_.exchange(0) : 0;
+          if (delay > 0) {
+            record_->Write("a hold call to " + settings_.ip +
+                           " is late: " + request.body);
+            hold_delayed_ = true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(delay));
+            hold_delayed_ = false;
+            record_->Write("the late hold call reaches " + settings_.ip);
+          }
+          {
+            std::lock_guard inner(mutex_);
+            if (!up_) {
+              return Response{};
+            }
           }
-        }
-        return Handle(request);
-      });
+          return Handle(request);
+        },
+        true);
+  } else if (server_ == nullptr) {
+    server_ = std::make_unique<HttpServer>(
+        settings_.ip, settings_.port, [this, id = id_](const Request& request) {
+          {
+            std::lock_guard inner(mutex_);
+            if (!up_ || id != id_) {
+              return Response{};
+            }
+          }
+          return Handle(request);
+        });
+  }
   record_->Write("executor " + settings_.ip + " starts as " + id_);
   changed_.notify_all();
 }
@@ -87,7 +131,12 @@
       return;
     }
     up_ = false;
-    server = std::move(server_);
+    if (!settings_.closes_connections) {
+      server = std::move(server_);
+    }
+    for (History::Done& done : history_.done) {
+      done.excused = done.excused || !done.noted;
+    }
     std::string lost;
     for (const auto& [task, run] : runs_) {
       lost += " " + task + "/" + std::to_string(run.run);
@@ -97,7 +146,9 @@
     runs_.clear();
     changed_.notify_all();
   }
-  server->Stop();
+  if (server != nullptr) {
+    server->Stop();
+  }
 }
 
 bool Executor::IsRunning(const std::string& task_prefix) {
@@ -188,6 +239,7 @@
   runs_[task] = added;
   record_->Write("executor " + id_ + " starts " + task + "/" +
                  std::to_string(run));
+  history_.starts.push_back({task, run, record_->Seconds()});
   return {200, Stamp("")};
 }
 
@@ -235,10 +287,16 @@
                                      ClockMs() + settings_.longest_hold_ms));
   }
   const auto last_seen = order.value("last_seen", int64_t{0});
-  while (!ends_.empty() && ends_.front().number <= last_seen) {
-    record_->Write("end " + std::to_string(ends_.front().number) + " of " +
-                   id_ + " is taken note of: " + ends_.front().task + "/" +
-                   std::to_string(ends_.front().run) + " " + ends_.front().how);
+  for (History::Done& done : history_.done) {
+    if (!done.noted && !done.excused && done.number <= last_seen) {
+      done.noted = true;
+      record_->Write("end " + std::to_string(done.number) + " of " + id_ +
+                     " is taken note of: " + done.task + "/" +
+                     std::to_string(done.run) + " done");
+    }
+  }
+  acknowledged_ = std::max(acknowledged_, last_seen);
+  while (!ends_.empty() && ends_.front().number <= acknowledged_) {
     ends_.pop_front();
   }
   const std::string id = id_;
@@ -287,6 +345,9 @@
   const auto now = Clock::now();
   std::vector<std::pair<std::string, std::string>> due;
   const bool lapsed = ClockMs() > until_ms_;
+  for (History::Done& done : history_.done) {
+    done.excused = done.excused || (lapsed && !done.noted);
+  }
   for (const auto& [task, run] : runs_) {
     if (run.work_ms >= 0 &&
         now - run.started >= std::chrono::milliseconds(run.work_ms)) {
@@ -306,7 +367,13 @@
   const uint64_t run = runs_.at(task).run;
   runs_.erase(task);
   highest_ended_[task] = std::max(highest_ended_[task], run);
-  ends_.push_back({++last_end_, task, run, how});
+  ++last_end_;
+  if (last_end_ > acknowledged_) {
+    ends_.push_back({last_end_, task, run, how});
+  }
+  if (how == "done") {
+    history_.done.push_back({task, run, last_end_, record_->Seconds()});
+  }
   record_->Write("executor " + id_ + " ends " + task + "/" +
                  std::to_string(run) + " " + how + " as " +
                  std::to_string(last_end_));
@@ -324,17 +391,19 @@
 void Executor::Beat() {
   size_t node = 0;
   auto next = Clock::now();
-  std::string id;
+  int64_t born = 0;
   while (!quit_) {
     Json beat;
+    std::string id;
     {
       std::unique_lock lock(mutex_);
-      if (!up_ || (id == id_ && Clock::now() < next)) {
+      if (!up_ || (born == born_ && Clock::now() < next)) {
         lock.unlock();
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
         continue;
       }
       id = id_;
+      born = born_;
       beat = {
           {"service", settings_.service},
           {"address", settings_.ip + ":" + std::to_string(settings_.port)},
@@ -346,7 +415,7 @@
           {"cold_remaining_ms", 0},
           {"capacity",
            {{"cpu", settings_.cpu}, {"mem_mb", settings_.mem_mb}, {"gpu", 0}}},
-          {"labels", {"a", settings_.rack}},
+          {"labels", {settings_.kind, settings_.rack}},
           {"clock_ms", ClockMs()},
           {"born", born_},
           {"seq", ++sequence_}};
--- a/review/harness-3/executor.h
+++ b/review/harness-3/executor.h
@@ -34,6 +34,29 @@
   int control_port = 0;
   int heartbeat_ms = 1'500;
   int64_t longest_hold_ms = 6'000;
+  std::string kind = "a";  // The first label.
+  // Ends each connection after its response, and stands behind a network that
+  // takes connections while the process is down.
+  bool closes_connections = false;
+};
+
+// What has run, for the rule TWICE. The mutex of the executor guards it.
+struct History {
+  struct Start {
+    std::string task;
+    uint64_t run = 0;
+    double at_s = 0;
+  };
+  struct Done {
+    std::string task;
+    uint64_t run = 0;
+    int64_t number = 0;
+    double at_s = 0;
+    bool noted = false;
+    bool excused = false;  // The lease lapsed, or the process ended, before.
+  };
+  std::vector<Start> starts;
+  std::vector<Done> done;
 };
 
 // The spec of a task says how long it works: "work_ms=N". Without it, the task
@@ -47,11 +70,19 @@
 
   // Starts an incarnation with a new id, which holds and knows nothing.
   void Start();
+  // The same, under the id that it had.
+  void StartAgain();
   // The process ends: its connections are reset and nothing is sent any more.
   void Crash();
   const std::string& id() const { return id_; }
   bool IsRunning(const std::string& task_prefix);
   int CountRunning();
+  // The next hold call reaches the executor this much later, as when the
+  // packet that opens its connection is lost. Needs `closes_connections`.
+  void DelayNextHold(int64_t ms);
+  // Whether that call is on its way.
+  bool IsHoldDelayed() const { return hold_delayed_; }
+  History CopyHistory();
 
  private:
   using Clock = std::chrono::steady_clock;
@@ -71,6 +102,7 @@
     std::string how;
   };
 
+  void Begin(std::string id);
   Response Handle(const Request& request);
   Response HandleStart(const std::string& body);
   Response HandleStop(const std::string& body);
@@ -98,6 +130,11 @@
   std::map<std::string, Run> runs_;
   std::map<std::string, uint64_t> highest_ended_;
   std::deque<End> ends_;
+  // The highest `last_seen`. Ends up to it are not listed any more.
+  int64_t acknowledged_ = 0;
+  History history_;
+  std::atomic<int64_t> hold_delay_ms_ = 0;
+  std::atomic<bool> hold_delayed_ = false;
   int64_t last_end_ = 0;
   std::unique_ptr<HttpServer> server_;
   std::atomic<bool> quit_ = false;
--- a/review/harness-3/http.cc
+++ b/review/harness-3/http.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
@@ -162,13 +163,19 @@
   Handler handler;
   int listener = -1;
   std::mutex mutex;
+  std::condition_variable changed;
   bool stopped = false;
+  bool closes_connections = false;
   std::set<int> sockets;
 };
 
-HttpServer::HttpServer(std::string ip, int port, Handler handler)
+HttpServer::HttpServer(std::string ip,
+                       int port,
+                       Handler handler,
+                       bool closes_connections)
     : shared_(std::make_shared<Shared>()) {
   shared_->handler = std::move(handler);
+  shared_->closes_connections = closes_connections;
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -219,6 +226,9 @@
   }
   acceptor_.join();
   close(shared_->listener);
+  std::unique_lock lock(shared_->mutex);
+  shared_->changed.wait_for(lock, std::chrono::seconds(2),
+                            [this] { return shared_->sockets.empty(); });
 }
 
 void HttpServer::Serve(const std::shared_ptr<Shared>& shared, int socket) {
@@ -248,15 +258,18 @@
             socket,
             "HTTP/1.1 " + std::to_string(response.status) +
                 " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                std::to_string(response.body.size()) + "\r\n\r\n" +
-                response.body,
-            Clock::now() + std::chrono::seconds(10))) {
+                std::to_string(response.body.size()) +
+                (shared->closes_connections ? "\r\nConnection: close" : "") +
+                "\r\n\r\n" + response.body,
+            Clock::now() + std::chrono::seconds(10)) ||
+        shared->closes_connections) {
       break;
     }
   }
   std::lock_guard lock(shared->mutex);
   shared->sockets.erase(socket);
   close(socket);
+  shared->changed.notify_all();
 }
 
 }  // namespace review
--- a/review/harness-3/http.h
+++ b/review/harness-3/http.h
@@ -43,10 +43,14 @@
 class HttpServer {
  public:
   using Handler = std::function<Response(const Request&)>;
-  HttpServer(std::string ip, int port, Handler handler);
+  HttpServer(std::string ip,
+             int port,
+             Handler handler,
+             bool closes_connections = false);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
+  // Resets the connections and waits for the handler.
   void Stop();
 
  private:
