--- a/packages/bramleyraild/control_instance.cc
+++ b/packages/bramleyraild/control_instance.cc
@@ -162,6 +162,7 @@
     options.dispatcher.lease =
         std::min(settings_.maximum_lease - kLeaseReserve, kLongestLease);
     options.dispatcher.plans_ending_steps = settings_.plan_ending_steps;
+    options.dispatcher.maximum_job_bytes = static_cast<int64_t>(memory_.jobs);
     options.job_retention = settings_.job_retention * 2;
     options.clients = {.orders = &orders_, .renewals = &renewals_};
     options.call_worker = hooks_.worker_caller(options.clients);
@@ -360,6 +361,9 @@
         counters.long_running_admitted);
     add("dispatcher_long_running_rejected_total",
         counters.long_running_rejected);
+    add("dispatcher_job_memory_rejected_total", counters.job_memory_rejected);
+    add("dispatcher_occurrences_held_total", counters.occurrences_held);
+    add("dispatcher_overlap_bytes", dispatcher.overlap_bytes());
     add("dispatcher_account_limits_reached_total",
         counters.account_limits_reached);
     uint64_t waiting_for_limit = 0;
--- a/packages/bramleyraild/memory_budget.cc
+++ b/packages/bramleyraild/memory_budget.cc
@@ -17,11 +17,12 @@
 constexpr int64_t kMinimumMb = 128;
 
 // Shares of the rest, in percent. The allocator and growing buffers take up to
-// twice what is counted. A control instance needs most of the rest for the
-// queues, the log and its snapshots; a gateway keeps nothing else.
-constexpr int64_t kControlConnectionsPercent = 20;
-constexpr int64_t kControlPeersPercent = 15;
-constexpr int64_t kControlRelayedPercent = 10;
+// twice what is counted. A gateway keeps nothing else.
+constexpr int64_t kControlConnectionsPercent = 18;
+constexpr int64_t kControlPeersPercent = 9;
+constexpr int64_t kControlRelayedPercent = 9;
+// Counts once, since the estimate includes copies.
+constexpr int64_t kControlJobsPercent = 28;
 constexpr int64_t kGatewayConnectionsPercent = 35;
 constexpr int64_t kGatewayPeersPercent = 10;
 
@@ -45,6 +46,7 @@
     budget.connections = share(kControlConnectionsPercent);
     budget.peers = share(kControlPeersPercent);
     budget.relayed = share(kControlRelayedPercent);
+    budget.jobs = share(kControlJobsPercent);
   } else {
     budget.connections = share(kGatewayConnectionsPercent);
     budget.peers = share(kGatewayPeersPercent);
--- a/packages/bramleyraild/tests/memory_budget_test.cc
+++ b/packages/bramleyraild/tests/memory_budget_test.cc
@@ -21,9 +21,10 @@
          {InstanceRole::kControl, InstanceRole::kGateway}) {
       const auto budget = MemoryBudget::Create(role, megabytes);
       CHECK(budget.has_value());
-      const auto& [connections, peers, relayed] = budget.value();
-      CHECK(2 * (connections + peers + relayed) <
+      const auto& [connections, peers, relayed, jobs] = budget.value();
+      CHECK(2 * (connections + peers + relayed) + jobs <
             static_cast<size_t>(megabytes) * 1'000'000);
+      CHECK((role == InstanceRole::kControl) == (jobs > 0));
       CHECK(connections / 4 * 3 > 3 * kLargestHeartbeat);
       CHECK(peers > kLargestFrame);
       CHECK(role == InstanceRole::kGateway || relayed > 2 * kLargestHeartbeat);
--- a/packages/control/control_service.cc
+++ b/packages/control/control_service.cc
@@ -160,14 +160,16 @@
   command.target_latency_ms = queue.target_latency_ms;
   command.specification = std::move(job);
   command.account = std::move(account);
-  const AdmissionDecision decision = dispatch_->Admit(command);
-  if (!decision.admitted) {
+  const Result<AdmissionDecision> decision = dispatch_->Admit(command);
+  if (!decision || !decision.value().admitted) {
     // A newer leader may have accepted the job meanwhile.
     if (!IsLeaderNow()) {
       callback(NotLeading());
-      return;
+    } else if (!decision) {
+      callback(decision.error());
+    } else {
+      callback(SubmitAnswer{.retry_after = decision.value().retry_after});
     }
-    callback(SubmitAnswer{.retry_after = decision.retry_after});
     return;
   }
   const std::string id = command.id;
--- a/packages/control/dispatch_loop.cc
+++ b/packages/control/dispatch_loop.cc
@@ -394,7 +394,7 @@
       [](const Result<QueueOutcome>&) {});
 }
 
-AdmissionDecision DispatchLoop::Admit(const SubmitJob& job) {
+Result<AdmissionDecision> DispatchLoop::Admit(const SubmitJob& job) {
   return queue_->Read([&](const QueueState& state) {
     return dispatcher_->Admit(state, job, options_.clock());
   });
@@ -403,7 +403,7 @@
 void DispatchLoop::WithdrawAdmission(const std::string& id,
                                      int64_t leader_epoch) {
   if (StillLeads(leader_epoch)) {
-    dispatcher_->admission().Withdraw(id);
+    dispatcher_->WithdrawAdmission(id);
   }
 }
 
--- a/packages/control/dispatch_loop.h
+++ b/packages/control/dispatch_loop.h
@@ -60,7 +60,7 @@
                     int64_t clock_ms);
   // Decide about a job that is handed in while this instance leads. An admitted
   // job whose proposal has certainly failed is withdrawn.
-  AdmissionDecision Admit(const SubmitJob& job);
+  Result<AdmissionDecision> Admit(const SubmitJob& job);
   void WithdrawAdmission(const std::string& id, int64_t leader_epoch);
   // Sets a function that runs after this instance has taken over or lost the
   // leadership.
--- a/packages/dispatch/dispatch_events.h
+++ b/packages/dispatch/dispatch_events.h
@@ -62,6 +62,10 @@
     9240, LogSeverity::kInfo, "long_running_rejected"};
 inline constexpr LogEventDefinition kLongRunningAdmitted{
     9241, LogSeverity::kInfo, "long_running_admitted"};
+inline constexpr LogEventDefinition kJobMemoryFull{9242, LogSeverity::kWarning,
+                                                   "job_memory_full"};
+inline constexpr LogEventDefinition kOccurrenceHeld{9243, LogSeverity::kWarning,
+                                                    "occurrence_held"};
 
 }  // namespace bramleyrail
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -27,6 +27,7 @@
       takeover_time_(now),
       longest_earlier_lease_(options_.maximum_lease),
       selector_(options_.placement),
+      job_memory_(options_.maximum_job_bytes),
       start_planner_(options_.plans_ending_steps, &counters_) {}
 
 TrackedWorker* Dispatcher::FindWorker(const WorkerAddress& address) {
@@ -165,6 +166,9 @@
   ++counters_.job_visits;
   const auto found = state.jobs().find(id);
   const bool known = found != state.jobs().end();
+  if (known) {
+    job_memory_.MarkStored(id);
+  }
   const JobOutcome outcome =
       known ? found->second->outcome : JobOutcome::kCancelled;
   if (outcome == JobOutcome::kOpen) {
@@ -189,7 +193,8 @@
                             : state.HasUnrecordedRuns(id)
                                 ? TrackedJob::EarlierRuns::kUnrecorded
                                 : TrackedJob::EarlierRuns::kRecorded;
-  auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs);
+  auto tracked = std::make_unique<TrackedJob>(std::move(job), earlier_runs,
+                                              overlap_bytes_);
   tracked->account = accounts_.Find(tracked->job().account);
   if (!synchronized_) {
     TrackRecordedRuns(state, tracked.get());
@@ -200,7 +205,9 @@
                          {"priority", tracked->job().priority},
                          {"objective_unix_ms", tracked->ObjectiveUnixMs(0)},
                          {"new", synchronized_}});
-  releases_.emplace(*tracked->NextReleaseUnixMs(), id);
+  if (const auto next = tracked->NextReleaseUnixMs()) {
+    releases_.emplace(*next, id);
+  }
   admission_.MarkTracked(id);
   jobs_.emplace(id, std::move(tracked));
 }
@@ -216,6 +223,7 @@
   accounts_.earlier_runs().AddEndedJob(closed->second->shared_job());
   if (const auto next = closed->second->NextReleaseUnixMs()) {
     releases_.erase({*next, id});
+    held_releases_.erase({*next, id});
   }
   jobs_.erase(closed);
 }
@@ -263,7 +271,7 @@
   unix_ms_ = unix_ms;
   ObserveLag(now);
   SendRecordedStarts(now);
-  ReleaseDueJobs();
+  ReleaseDueJobs(state, now);
   admission_.short_work().Refresh(now);
   StepWorkers(now);
   PlaceReadyTasks(state, now);
@@ -271,18 +279,6 @@
   return std::exchange(orders_, {});
 }
 
-void Dispatcher::ReleaseDueJobs() {
-  while (!releases_.empty() && releases_.begin()->first <= unix_ms_) {
-    const std::string id = releases_.begin()->second;
-    releases_.erase(releases_.begin());
-    TrackedJob* job = FindJob(id);
-    EnqueueReadyTasks(job, job->Release(unix_ms_));
-    if (const auto next = job->NextReleaseUnixMs()) {
-      releases_.emplace(*next, id);
-    }
-  }
-}
-
 void Dispatcher::StepWorkers(MonotonicTime now) {
   for (const std::string& id : std::exchange(due_workers_, {})) {
     const auto found = workers_.find(id);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "packages/dispatch/cpu_limit_policy.h"
 #include "packages/dispatch/dispatch_batches.h"
 #include "packages/dispatch/dispatcher_counters.h"
+#include "packages/dispatch/job_memory_admission.h"
 #include "packages/dispatch/largest_waiting_task.h"
 #include "packages/dispatch/latency_interference_model.h"
 #include "packages/dispatch/long_running_admission.h"
@@ -49,6 +50,8 @@
     // Starts are planned for steps that end by themselves, too. The room that
     // such a plan collects stands empty until the start.
     bool plans_ending_steps = false;
+    // Memory for the jobs of the state; 0: no limit.
+    int64_t maximum_job_bytes = 0;
   };
 
   using FinishedRunBatch = DispatchedFinishedRuns;
@@ -103,11 +106,16 @@
                     int64_t clock_ms,
                     MonotonicTime now);
 
-  // Decides whether a job that is handed in is accepted.
-  AdmissionDecision Admit(const QueueState& state,
-                          const SubmitJob& job,
-                          MonotonicTime now);
-  LongRunningAdmission& admission() { return admission_; }
+  // Decides whether a job that is handed in is accepted. kInvalidArgument when
+  // it is too large to be accepted ever.
+  Result<AdmissionDecision> Admit(const QueueState& state,
+                                  const SubmitJob& job,
+                                  MonotonicTime now);
+  // A request for the admitted job has certainly not stored it.
+  void WithdrawAdmission(std::string_view job);
+  // Memory that the records of occurrences take which run beside another one of
+  // their job.
+  int64_t overlap_bytes() const { return *overlap_bytes_; }
 
   // Withdrawn workers of the state that run no task any more.
   std::vector<WorkerIncarnation> EndedWithdrawals(
@@ -266,7 +274,12 @@
                 std::string_view reason,
                 MonotonicTime now);
   void SendCpuLimit(TrackedWorker* worker, const RunKey& key, TrackedRun* run);
-  void ReleaseDueJobs();
+  AdmissionDecision AdmitLongRunning(const QueueState& state,
+                                     const SubmitJob& job,
+                                     MonotonicTime now);
+  void ReleaseDueJobs(const QueueState& state, MonotonicTime now);
+  // Releases the next occurrence of the job, if the memory has room for it.
+  bool ReleaseOccurrence(const QueueState& state, const std::string& id);
   void StepWorkers(MonotonicTime now);
   void StepWorker(TrackedWorker* worker, MonotonicTime now);
   void RetryOrders(TrackedWorker* worker, MonotonicTime now);
@@ -402,6 +415,8 @@
                           MonotonicTime sent,
                           MonotonicTime now);
   void RecordMeasurement(TrackedRun* run, MonotonicTime now);
+  // Whether the task of the reported run is neither active nor done.
+  static bool MayAdopt(const ReportedRun& reported, TrackedJob* job);
   void AdoptRun(TrackedWorker* worker,
                 const ReportedRun& reported,
                 MonotonicTime now);
@@ -416,6 +431,8 @@
                      std::string_view reason,
                      MonotonicTime now);
 
+  static constexpr int64_t kHeldLinesPerSecond = 2;
+
   const Options options_;
   const int64_t leader_epoch_;
   const MonotonicTime takeover_time_;
@@ -424,6 +441,8 @@
   const CpuLimitPolicy cpu_limit_policy_{};
   LatencyInterferenceModel interference_model_;
   LongRunningAdmission admission_;
+  JobMemoryAdmission job_memory_;
+  const std::shared_ptr<int64_t> overlap_bytes_ = std::make_shared<int64_t>(0);
   TrackedWorkers workers_;
   // Ids of workers that may have crashed.
   std::set<std::string> suspected_workers_;
@@ -436,7 +455,11 @@
   LargestWaitingTask largest_waiting_;
   AccountLedger accounts_;
   // When the next occurrence of a job is due, and the job.
-  std::set<std::pair<int64_t, std::string>> releases_;
+  using Releases = std::set<std::pair<int64_t, std::string>>;
+  Releases releases_;
+  Releases held_releases_;  // Due, and without room in the memory.
+  MonotonicTime next_held_release_;
+  LogRateLimit held_lines_{kHeldLinesPerSecond};
   std::vector<WorkerOrder> orders_;
   std::vector<FinishedRun> finished_runs_;
   // By worker, the highest number of a finished run that was received since the
--- a/packages/dispatch/dispatcher_consistency.cc
+++ b/packages/dispatch/dispatcher_consistency.cc
@@ -8,7 +8,8 @@
 std::optional<std::string> Dispatcher::FindInconsistency() const {
   for (const auto& [id, job] : jobs_) {
     TaskName name{job->shared_id(), 0, 0, 0};
-    for (TrackedOccurrence& occurrence : job->occurrences()) {
+    for (auto& [number, occurrence] : job->occurrences()) {
+      name.occurrence = number;
       name.step = 0;
       for (TrackedStep& step : occurrence.steps) {
         name.index = 0;
@@ -26,7 +27,6 @@
         }
         ++name.step;
       }
-      ++name.occurrence;
     }
   }
   return std::nullopt;
--- a/packages/dispatch/dispatcher_counters.h
+++ b/packages/dispatch/dispatcher_counters.h
@@ -26,6 +26,10 @@
   // Decisions about jobs with long-running steps that were handed in.
   uint64_t long_running_admitted = 0;
   uint64_t long_running_rejected = 0;
+  // Jobs that were rejected since the jobs take all memory for them, and
+  // occurrences that were due and waited for the end of others for that reason.
+  uint64_t job_memory_rejected = 0;
+  uint64_t occurrences_held = 0;
   // How often the limit of an account was reached.
   uint64_t account_limits_reached = 0;
   // How often a worker was rated for a task.
--- a/packages/dispatch/dispatcher_responses.cc
+++ b/packages/dispatch/dispatcher_responses.cc
@@ -123,7 +123,8 @@
       break;
     default:
       pause = kInvalidPause;
-      if (TrackedJob* job = FindJob(task.job)) {
+      if (TrackedJob* job = FindJob(task.job);
+          job != nullptr && job->HasTask(task)) {
         job->task(task).avoid_worker = address.id;
         // Several workers may reject it. An ordinary job that is invalid itself
         // must not count against all of them.
@@ -263,11 +264,17 @@
     }
   }
   job->started = true;
-  job->occurrences()[finished.task.occurrence].started = true;
+  job->occurrence(finished.task.occurrence).started = true;
   if (done) {
     ++counters_.runs_completed;
     worker->consecutive_failures = 0;
-    ready_.Remove(job, finished.task);
+    // One member ends the whole gang, also those that wait to start again.
+    TaskName member = finished.task;
+    const int64_t last = step.gang ? step.tasks - 1 : member.index;
+    for (member.index = step.gang ? 0 : last; member.index <= last;
+         ++member.index) {
+      ready_.Remove(job, member);
+    }
     EnqueueReadyTasks(job, job->MarkDone(finished.task));
     return;
   }
@@ -356,6 +363,16 @@
           : BestEffortPhase::kLight;
 }
 
+bool Dispatcher::MayAdopt(const ReportedRun& reported, TrackedJob* job) {
+  if (job->IsFinished(reported.task.occurrence)) {
+    return false;
+  }
+  const TrackedTask& task = job->task(reported.task);
+  const bool startable =
+      task.phase == TaskPhase::kReady || task.phase == TaskPhase::kWaiting;
+  return startable && reported.run > task.last_run;
+}
+
 void Dispatcher::AdoptRun(TrackedWorker* worker,
                           const ReportedRun& reported,
                           MonotonicTime now) {
@@ -370,14 +387,13 @@
   run.progress_changed = now;
   run.measurement = reported.measurement;
   run.phase = RunPhase::kRunning;
-  if (job == nullptr || !job->HasTask(reported.task)) {
+  if (job == nullptr || !job->Contains(reported.task)) {
     accounts_.ChargeRunOfEndedJob(reported.task, &run);
     SendStop(worker, key, &worker->AddRun(key, std::move(run)),
              "the job is not open", now);
     return;
   }
   const JobStep& step = job->step(reported.task);
-  TrackedTask& tracked_task = job->task(reported.task);
   run.job = job->shared_job();
   run.step = &step;
   run.reserved = step.size;
@@ -386,14 +402,13 @@
   run.charge = accounts_.Charge(job->account, step);
   job->workers.insert(worker->registration().id);
   TrackedRun& added = worker->AddRun(key, std::move(run));
-  const bool startable = tracked_task.phase == TaskPhase::kReady ||
-                         tracked_task.phase == TaskPhase::kWaiting;
-  if (!startable || reported.run <= tracked_task.last_run) {
+  if (!MayAdopt(reported, job)) {
     SendStop(worker, key, &added, "the task is active elsewhere or done", now);
     return;
   }
+  TrackedTask& tracked_task = job->task(reported.task);
   ready_.Remove(job, reported.task);
-  job->occurrences()[reported.task.occurrence].started = true;
+  job->occurrence(reported.task.occurrence).started = true;
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = worker->registration().id;
   tracked_task.last_run = reported.run;
--- a/packages/dispatch/dispatcher_standing_tasks.cc
+++ b/packages/dispatch/dispatcher_standing_tasks.cc
@@ -108,7 +108,8 @@
   std::vector<StandingTask> standing;
   for (const auto& [id, job] : jobs_) {
     TaskName name{job->shared_id(), 0, 0, 0};
-    for (TrackedOccurrence& occurrence : job->occurrences()) {
+    for (auto& [number, occurrence] : job->occurrences()) {
+      name.occurrence = number;
       name.step = 0;
       for (TrackedStep& step : occurrence.steps) {
         name.index = 0;
@@ -126,7 +127,6 @@
         }
         ++name.step;
       }
-      ++name.occurrence;
     }
   }
   return standing;
--- a/packages/dispatch/dispatcher_takeover.cc
+++ b/packages/dispatch/dispatcher_takeover.cc
@@ -218,7 +218,7 @@
   }
   TrackedWorker* worker = found->second.get();
   job->workers.insert(recorded.worker.id);
-  job->occurrences()[task.occurrence].started = true;
+  job->occurrence(task.occurrence).started = true;
   tracked_task.phase = TaskPhase::kActive;
   tracked_task.worker = recorded.worker.id;
   const JobStep& step = job->step(task);
--- a/packages/dispatch/dispatcher_workers.cc
+++ b/packages/dispatch/dispatcher_workers.cc
@@ -436,9 +436,7 @@
       worker->cpu_limit_lowered = now;
     }
     if (change.move) {
-      if (TrackedJob* job = FindJob(change.run.first.job)) {
-        job->task(change.run.first).avoid_worker = worker->registration().id;
-      }
+      AvoidWorker(change.run.first, *worker);
       SendStop(worker, change.run, run,
                "it interferes with a run that has a target latency", now);
       continue;
--- a/packages/dispatch/fakes/fake_pool.cc
+++ b/packages/dispatch/fakes/fake_pool.cc
@@ -63,7 +63,8 @@
 
 bool FakePool::HandIn(const std::string& id, JobSpecification job) {
   SubmitJob command = MakeSubmission(id, std::move(job));
-  if (!dispatcher_->Admit(state_, command, now_).admitted) {
+  const auto decision = dispatcher_->Admit(state_, command, now_);
+  if (!decision || !decision.value().admitted) {
     return false;
   }
   Apply(std::move(command));
@@ -98,12 +99,17 @@
       state_.Apply({kStartUnixMs, batch.command});
     }
   }
+  if (options_.restores_snapshots) {
+    state_ =
+        std::move(*QueueState::FromSnapshot(state_.EncodeSnapshot()).value());
+  }
   const QueueOutcome outcome = state_.Apply(
       {kStartUnixMs, BeginLeadership{"leader", options_.records_placements,
                                      options_.lease.count()}});
   Dispatcher::Options options;
   options.lease = options_.lease;
   options.plans_ending_steps = options_.plans_ending_steps;
+  options.maximum_job_bytes = options_.maximum_job_bytes;
   options.maximum_lease = options_.lease + Milliseconds(500);
   dispatcher_ =
       std::make_unique<Dispatcher>(options, outcome.leader_epoch, now_);
@@ -119,6 +125,12 @@
          std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
 }
 
+int64_t FakePool::RecordedTasks(std::string_view job) const {
+  return std::count_if(
+      recorded_done_.begin(), recorded_done_.end(),
+      [job](const TaskName& task) { return task.job.View() == job; });
+}
+
 int64_t FakePool::UnixMs() const {
   return kStartUnixMs +
          std::chrono::floor<Milliseconds>(now_.time_since_epoch()).count();
--- a/packages/dispatch/fakes/fake_pool.h
+++ b/packages/dispatch/fakes/fake_pool.h
@@ -53,6 +53,9 @@
     // don't come, as the workers' protocol says.
     bool ends_gangs = false;
     bool plans_ending_steps = false;  // See Dispatcher::Options.
+    int64_t maximum_job_bytes = 0;    // The same.
+    // Whether a new leader begins with the state of a snapshot.
+    bool restores_snapshots = false;
   };
 
   // What is lost between the leader and one worker. Heartbeats arrive.
@@ -138,6 +141,8 @@
   int WorkerOf(const TaskName& task) const;
   bool IsPartitioned(std::string_view worker) const;
   int starts() const { return starts_; }
+  // How many tasks of the job are recorded as done.
+  int64_t RecordedTasks(std::string_view job) const;
   int64_t CpuLimitOf(const TaskName& task) const;
   // How many workers have crashed, for any reason.
   int crashes() const { return crashes_; }
--- a/packages/dispatch/long_running_admission.cc
+++ b/packages/dispatch/long_running_admission.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <random>
 #include <utility>
 
 #include "packages/dispatch/dispatch_events.h"
@@ -50,13 +49,7 @@
 
 }  // namespace
 
-LongRunningAdmission::Random LongRunningAdmission::MakeRandom() {
-  return [engine = std::minstd_rand(std::random_device()())]() mutable {
-    return std::uniform_real_distribution<double>()(engine);
-  };
-}
-
-LongRunningAdmission::LongRunningAdmission(Random random)
+LongRunningAdmission::LongRunningAdmission(UniformRandom random)
     : random_(std::move(random)),
       admitted_lines_(kLogLinesPerSecond),
       rejected_lines_(kLogLinesPerSecond) {}
--- a/packages/dispatch/long_running_admission.h
+++ b/packages/dispatch/long_running_admission.h
@@ -3,33 +3,24 @@
 
 #include <array>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
 
 #include "packages/base/base.h"
+#include "packages/dispatch/admission_decision.h"
 #include "packages/dispatch/pool_room.h"
 #include "packages/dispatch/short_work_demand.h"
 #include "packages/queue/queue.h"
 
 namespace bramleyrail {
 
-struct AdmissionDecision {
-  bool admitted = true;
-  // When room is likely, spread over the callers that are rejected. Only for a
-  // rejected job.
-  Milliseconds retry_after{0};
-};
-
 // Decides whether a job with long-running steps is accepted: not when its tasks
 // would take room that short work needs. Decides only before a job is stored:
 // an accepted task must not wait beside room for it.
 class LongRunningAdmission {
  public:
-  using Random = std::function<double()>;  // Returns values from 0 to 1.
-
-  explicit LongRunningAdmission(Random random = MakeRandom());
+  explicit LongRunningAdmission(UniformRandom random = MakeUniformRandom());
 
   static bool HasLongRunningStep(const JobSpecification& job);
 
@@ -72,8 +63,6 @@
  private:
   static constexpr int kBlocks = 4;
 
-  static Random MakeRandom();
-
   struct AdmittedJob {
     std::string pool;
     JobSpecification specification;  // Without the payload.
@@ -99,7 +88,7 @@
               int64_t missing_millis,
               MonotonicTime now);
 
-  const Random random_;
+  const UniformRandom random_;
   ShortWorkDemand short_work_;
   std::map<std::string, AdmittedJob, std::less<>> admitted_;
   std::map<std::string, EndedWork, std::less<>> ended_;  // By pool.
--- a/packages/dispatch/ready_steps.cc
+++ b/packages/dispatch/ready_steps.cc
@@ -49,7 +49,8 @@
 size_t ReadySteps::RemoveJob(TrackedJob* job) {
   size_t visits = 0;
   TaskName name{job->shared_id(), 0, 0, 0};
-  for (TrackedOccurrence& occurrence : job->occurrences()) {
+  for (auto& [number, occurrence] : job->occurrences()) {
+    name.occurrence = number;
     name.step = 0;
     for (TrackedStep& step : occurrence.steps) {
       ++visits;
@@ -60,7 +61,6 @@
       }
       ++name.step;
     }
-    ++name.occurrence;
   }
   return visits;
 }
--- a/packages/dispatch/start_planner.cc
+++ b/packages/dispatch/start_planner.cc
@@ -197,7 +197,7 @@
   PlannedStart& plan = *worker->planned_start;
   const TaskName& first = plan.step;
   TrackedJob* job = view.find_job(first.job);
-  if (job == nullptr ||
+  if (job == nullptr || !job->HasTask(first) ||
       job->step_record(first).ready_tasks.size() <= CountPlans(first) ||
       WorkerSelector::IsAtTaskLimit(*worker, job->step(first), first) ||
       view.is_held(*job, first)) {
--- a/packages/dispatch/tests/any_sequence_of_faults.h
+++ b/packages/dispatch/tests/any_sequence_of_faults.h
@@ -23,6 +23,8 @@
   };
   // Applies one of four further faults.
   std::function<void(FakePool*, int)> apply_other = [](FakePool*, int) {};
+  // Called after all jobs have ended.
+  std::function<void(FakePool*)> finish = [](FakePool*) {};
 };
 
 // Runs a random sequence of faults on a pool and checks what must always hold.
@@ -70,6 +72,7 @@
       Milliseconds(120'000));
   RC_ASSERT(pool.violation() == "");
   RC_ASSERT(all_ended);
+  sequence.finish(&pool);
 }
 
 }  // namespace bramleyrail
--- a/packages/dispatch/tests/ready_steps_test.cc
+++ b/packages/dispatch/tests/ready_steps_test.cc
@@ -91,7 +91,7 @@
 TEST(ReadySteps, StartedJobKeepsItsPlaceUntilItExpires) {
   const auto started = Job("started", kSubmittedUnixMs);
   const auto waiting = Job("waiting", kSubmittedUnixMs + 1);
-  started->occurrences()[0].started = true;
+  started->occurrence(0).started = true;
   ReadySteps ready;
   ready.Add(started.get(), FirstTask(*started), kSubmittedUnixMs);
   ready.Add(waiting.get(), FirstTask(*waiting), kSubmittedUnixMs);
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -27,11 +27,16 @@
 }  // namespace
 
 TrackedJob::TrackedJob(std::shared_ptr<const QueuedJob> job,
-                       EarlierRuns earlier_runs)
+                       EarlierRuns earlier_runs,
+                       std::shared_ptr<int64_t> overlap_bytes)
     : job_(std::move(job)),
       id_(job_->id),
       payload_(std::make_shared<const JsonText>(job_->specification.payload)),
-      earlier_runs_(earlier_runs) {
+      earlier_runs_(earlier_runs),
+      occurrence_bytes_(BytesOfOccurrence(job_->specification)),
+      reserved_occurrences_(ReservedOccurrences(job_->specification)),
+      overlap_bytes_(std::move(overlap_bytes)),
+      finished_(job_->finished_occurrences) {
   const JobSpecification& specification = job_->specification;
   critical_path_ms_ = CriticalPathFromEachStep(specification);
   const int64_t longest_ms = critical_path_ms_.empty()
@@ -43,20 +48,16 @@
   objective_ms_ = job_->target_latency_ms +
                   static_cast<int64_t>(job_->stretch_factor *
                                        static_cast<double>(longest_ms));
-  for (int64_t number = 0; number < specification.OccurrenceCount(); ++number) {
-    TrackedOccurrence& occurrence = occurrences_.emplace_back();
-    if (specification.repetitions > 0) {
-      occurrence.due_unix_ms = specification.first_start_unix_ms +
-                               number * specification.interval_ms;
-    }
-    for (const JobStep& step : specification.steps) {
-      TrackedStep& tracked_step = occurrence.steps.emplace_back();
-      tracked_step.tasks.resize(step.tasks);
-      tracked_step.unfinished_tasks = step.tasks;
-      tracked_step.unfinished_predecessors =
-          static_cast<int64_t>(step.predecessors.size());
-    }
-  }
+  RestoreProgress();
+}
+
+TrackedJob::~TrackedJob() {
+  const auto records = static_cast<int64_t>(occurrences_.size());
+  *overlap_bytes_ -=
+      std::max<int64_t>(records - reserved_occurrences_, 0) * occurrence_bytes_;
+}
+
+void TrackedJob::RestoreProgress() {
   for (const auto& [name, progress] : job_->progress) {
     TrackedTask& tracked_task = task(name);
     tracked_task.failed_runs.insert(progress.failed_runs.begin(),
@@ -69,16 +70,50 @@
       SuspectOfCrashes(name);
     }
     started = true;
-    occurrences_[name.occurrence].started = true;
+    occurrence(name.occurrence).started = true;
   }
   for (const auto& [name, progress] : job_->progress) {
-    if (progress.done && task(name).phase != TaskPhase::kDone) {
-      // Release() returns the tasks that may start.
+    if (progress.done && HasTask(name) &&
+        task(name).phase != TaskPhase::kDone) {
+      // ReleaseNext() returns the tasks that may start.
       (void)MarkDone(name);
     }
   }
 }
 
+TrackedOccurrence& TrackedJob::occurrence(int64_t number) {
+  const auto [position, inserted] = occurrences_.try_emplace(number);
+  TrackedOccurrence& created = position->second;
+  if (!inserted) {
+    return created;
+  }
+  BRAMLEYRAIL_ASSERT(!IsFinished(number),
+                     "a finished occurrence must not run again");
+  if (ExceedsReservation(occurrences_.size())) {
+    *overlap_bytes_ += occurrence_bytes_;
+  }
+  const std::vector<JobStep>& steps = job_->specification.steps;
+  created.unfinished_steps = std::ssize(steps);
+  created.steps.resize(steps.size());
+  for (size_t step = 0; step < steps.size(); ++step) {
+    created.steps[step].tasks.resize(steps[step].tasks);
+    created.steps[step].unfinished_tasks = steps[step].tasks;
+    created.steps[step].unfinished_predecessors =
+        std::ssize(steps[step].predecessors);
+  }
+  return created;
+}
+
+void TrackedJob::FinishOccurrence(int64_t number) {
+  if (ExceedsReservation(occurrences_.size())) {
+    *overlap_bytes_ -= occurrence_bytes_;
+  }
+  const auto finished = occurrences_.find(number);
+  released_occurrences_ -= finished->second.released ? 1 : 0;
+  occurrences_.erase(finished);
+  finished_.Insert(number);
+}
+
 int64_t TrackedJob::LatestStartUnixMs(const TaskName& name) const {
   return ObjectiveUnixMs(name.occurrence) - critical_path_ms_[name.step];
 }
@@ -91,21 +126,19 @@
     return Lateness::kExpired;
   }
   // The work that is done for a job is of use only when the job ends.
-  const bool has_started = occurrences_[name.occurrence].started;
+  const auto records = occurrences_.find(name.occurrence);
+  const bool has_started =
+      records != occurrences_.end() && records->second.started;
   return has_started || unix_ms <= LatestStartUnixMs(name) ? Lateness::kOnTime
                                                            : Lateness::kLate;
 }
 
-bool TrackedJob::HasTask(const TaskName& name) const {
-  return name.occurrence < static_cast<int64_t>(occurrences_.size()) &&
+bool TrackedJob::Contains(const TaskName& name) const {
+  return name.occurrence < job_->specification.OccurrenceCount() &&
          name.step < static_cast<int64_t>(job_->specification.steps.size()) &&
          name.index < job_->specification.steps[name.step].tasks;
 }
 
-TrackedTask& TrackedJob::task(const TaskName& name) {
-  return occurrences_[name.occurrence].steps[name.step].tasks[name.index];
-}
-
 TrackedTask& TrackedJob::FailureRecordOf(TaskName name) {
   name.index = step(name).gang ? 0 : name.index;
   return task(name);
@@ -118,7 +151,7 @@
   if (step(name).gang || step(name).long_running) {
     return;
   }
-  TrackedStep& tracked_step = occurrences_[name.occurrence].steps[name.step];
+  TrackedStep& tracked_step = step_record(name);
   std::optional<int64_t>& suspect = tracked_step.crash_suspect;
   if (!suspect || task(name).crashed_runs.size() >
                       tracked_step.tasks[*suspect].crashed_runs.size()) {
@@ -134,31 +167,39 @@
     return;
   }
   record.crash_suspected = false;
-  TrackedStep& tracked_step = occurrences_[name.occurrence].steps[name.step];
+  TrackedStep& tracked_step = step_record(name);
   if (tracked_step.crash_suspect == name.index) {
     tracked_step.crash_suspect.reset();
   }
 }
 
-std::vector<TaskName> TrackedJob::Release(int64_t unix_ms) {
+std::vector<TaskName> TrackedJob::ReleaseNext() {
+  const int64_t number = next_release_++;
+  // An earlier leader may have released it, also by a clock that is ahead.
+  if (IsFinished(number)) {
+    return {};
+  }
+  TrackedOccurrence& released = occurrence(number);
+  released.released = true;
+  ++released_occurrences_;
   std::vector<TaskName> ready;
-  for (size_t number = 0; number < occurrences_.size(); ++number) {
-    TrackedOccurrence& occurrence = occurrences_[number];
-    if (occurrence.released || occurrence.due_unix_ms > unix_ms) {
-      continue;
-    }
-    occurrence.released = true;
-    for (size_t step = 0; step < occurrence.steps.size(); ++step) {
-      if (occurrence.steps[step].unfinished_predecessors == 0) {
-        const auto tasks = MarkStepReady(static_cast<int64_t>(number),
-                                         static_cast<int64_t>(step));
-        ready.insert(ready.end(), tasks.begin(), tasks.end());
-      }
+  for (size_t step = 0; step < released.steps.size(); ++step) {
+    if (released.steps[step].unfinished_predecessors == 0) {
+      const auto tasks = MarkStepReady(number, static_cast<int64_t>(step));
+      ready.insert(ready.end(), tasks.begin(), tasks.end());
     }
   }
   return ready;
 }
 
+int64_t TrackedJob::OverlapBytesOfNextRelease() const {
+  // Without a released occurrence, those that have records wait for this one.
+  const bool counted = released_occurrences_ < reserved_occurrences_ ||
+                       occurrences_.contains(next_release_) ||
+                       IsFinished(next_release_);
+  return counted ? 0 : occurrence_bytes_;
+}
+
 bool TrackedJob::AreAllTasksReady(const TaskName& name) {
   const std::vector<TrackedTask>& tasks = step_record(name).tasks;
   return std::all_of(tasks.begin(), tasks.end(), [](const TrackedTask& task) {
@@ -167,30 +208,33 @@
 }
 
 std::optional<int64_t> TrackedJob::NextReleaseUnixMs() const {
-  // The occurrences are due one after the other.
-  const auto next = std::find_if(
-      occurrences_.begin(), occurrences_.end(),
-      [](const TrackedOccurrence& occurrence) { return !occurrence.released; });
-  return next == occurrences_.end() ? std::nullopt
-                                    : std::optional(next->due_unix_ms);
+  const JobSpecification& specification = job_->specification;
+  if (next_release_ >= specification.OccurrenceCount()) {
+    return std::nullopt;
+  }
+  return specification.repetitions == 0
+             ? 0
+             : specification.first_start_unix_ms +
+                   next_release_ * specification.interval_ms;
 }
 
-std::vector<TaskName> TrackedJob::MarkStepReady(int64_t occurrence,
+std::vector<TaskName> TrackedJob::MarkStepReady(int64_t occurrence_number,
                                                 int64_t step) {
   std::vector<TaskName> ready;
-  TrackedStep& tracked_step = occurrences_[occurrence].steps[step];
+  TrackedStep& tracked_step = step_record(occurrence_number, step);
   for (size_t index = 0; index < tracked_step.tasks.size(); ++index) {
     if (tracked_step.tasks[index].phase == TaskPhase::kWaiting) {
       tracked_step.tasks[index].phase = TaskPhase::kReady;
-      ready.push_back({id_, occurrence, step, static_cast<int64_t>(index)});
+      ready.push_back(
+          {id_, occurrence_number, step, static_cast<int64_t>(index)});
     }
   }
   return ready;
 }
 
 std::vector<TaskName> TrackedJob::MarkDone(const TaskName& name) {
-  TrackedOccurrence& occurrence = occurrences_[name.occurrence];
-  TrackedStep& tracked_step = occurrence.steps[name.step];
+  TrackedOccurrence& tracked_occurrence = occurrence(name.occurrence);
+  TrackedStep& tracked_step = tracked_occurrence.steps[name.step];
   const bool gang = step(name).gang;
   const int64_t unfinished_before = tracked_step.unfinished_tasks;
   for (size_t index = 0; index < tracked_step.tasks.size(); ++index) {
@@ -201,26 +245,36 @@
       --tracked_step.unfinished_tasks;
     }
   }
-  std::vector<TaskName> ready;
   if (tracked_step.unfinished_tasks > 0 ||
       tracked_step.unfinished_tasks == unfinished_before) {
-    return ready;
+    return {};
+  }
+  if (--tracked_occurrence.unfinished_steps == 0) {
+    FinishOccurrence(name.occurrence);
+    return {};
   }
-  for (size_t next = 0; next < occurrence.steps.size(); ++next) {
+  return MarkSuccessorsReady(name);
+}
+
+std::vector<TaskName> TrackedJob::MarkSuccessorsReady(
+    const TaskName& finished) {
+  TrackedOccurrence& tracked_occurrence = occurrence(finished.occurrence);
+  std::vector<TaskName> ready;
+  for (size_t next = 0; next < tracked_occurrence.steps.size(); ++next) {
     const std::vector<int64_t>& predecessors =
         job_->specification.steps[next].predecessors;
     const auto followed =
-        std::count(predecessors.begin(), predecessors.end(), name.step);
+        std::count(predecessors.begin(), predecessors.end(), finished.step);
     // A step that was ready before may have a task without attempts, which
     // waits for the end of its job and must not become ready again.
     if (followed == 0) {
       continue;
     }
-    occurrence.steps[next].unfinished_predecessors -= followed;
-    if (occurrence.steps[next].unfinished_predecessors == 0 &&
-        occurrence.released) {
+    TrackedStep& step = tracked_occurrence.steps[next];
+    step.unfinished_predecessors -= followed;
+    if (step.unfinished_predecessors == 0 && tracked_occurrence.released) {
       const auto tasks =
-          MarkStepReady(name.occurrence, static_cast<int64_t>(next));
+          MarkStepReady(finished.occurrence, static_cast<int64_t>(next));
       ready.insert(ready.end(), tasks.begin(), tasks.end());
     }
   }
@@ -233,7 +287,7 @@
   if (!step(name).gang) {
     return {name};
   }
-  TrackedStep& tracked_step = occurrences_[name.occurrence].steps[name.step];
+  TrackedStep& tracked_step = step_record(name);
   std::vector<TaskName> members;
   for (size_t index = 0; index < tracked_step.tasks.size(); ++index) {
     if (tracked_step.tasks[index].phase != TaskPhase::kReady) {
--- a/packages/dispatch/tracked_job.h
+++ b/packages/dispatch/tracked_job.h
@@ -83,14 +83,16 @@
 };
 
 struct TrackedOccurrence {
-  int64_t due_unix_ms = 0;  // 0: immediately.
-  bool released = false;    // The due time has passed.
-  bool started = false;     // A task has started.
+  bool released = false;  // It is due, and its tasks may start.
+  bool started = false;   // A task has started.
+  int64_t unfinished_steps = 0;
   std::vector<TrackedStep> steps;
 };
 
 // The leader's record of one open job: which tasks are waiting, ready, active
-// or done. Finished runs take effect here before they are durable.
+// or done. Finished runs take effect here before they are durable. An
+// occurrence has records from its release, or the first report of one of its
+// tasks, until all its tasks are done.
 class TrackedJob {
  public:
   // Runs that earlier leaders may have started: none, since this one accepted
@@ -98,7 +100,15 @@
   // ones.
   enum class EarlierRuns { kNone, kRecorded, kUnrecorded };
 
-  TrackedJob(std::shared_ptr<const QueuedJob> job, EarlierRuns earlier_runs);
+  // `overlap_bytes` is the sum, over all jobs of the owner, of the records that
+  // exceed what was counted when the job was accepted. See BytesOfOpenJob().
+  TrackedJob(
+      std::shared_ptr<const QueuedJob> job,
+      EarlierRuns earlier_runs,
+      std::shared_ptr<int64_t> overlap_bytes = std::make_shared<int64_t>(0));
+  ~TrackedJob();
+  TrackedJob(const TrackedJob&) = delete;
+  TrackedJob& operator=(const TrackedJob&) = delete;
 
   const QueuedJob& job() const { return *job_; }
   const std::shared_ptr<const QueuedJob>& shared_job() const { return job_; }
@@ -108,15 +118,29 @@
     return job_->specification.steps[task.step];
   }
   EarlierRuns earlier_runs() const { return earlier_runs_; }
-  bool HasTask(const TaskName& task) const;
-  TrackedTask& task(const TaskName& task);
-  TrackedStep& step_record(int64_t occurrence, int64_t step) {
-    return occurrences_[occurrence].steps[step];
+  // Whether the job contains the task, which may have finished.
+  bool Contains(const TaskName& task) const;
+  // The same, and its occurrence has not finished.
+  bool HasTask(const TaskName& task) const {
+    return Contains(task) && !IsFinished(task.occurrence);
+  }
+  // The records of an occurrence, which must not have finished. They are
+  // created when there are none.
+  TrackedOccurrence& occurrence(int64_t number);
+  TrackedTask& task(const TaskName& task) {
+    return step_record(task).tasks[task.index];
+  }
+  TrackedStep& step_record(int64_t occurrence_number, int64_t step) {
+    return occurrence(occurrence_number).steps[step];
   }
   TrackedStep& step_record(const TaskName& task) {
     return step_record(task.occurrence, task.step);
   }
-  std::vector<TrackedOccurrence>& occurrences() { return occurrences_; }
+  // The occurrences that have records, by number.
+  std::map<int64_t, TrackedOccurrence>& occurrences() { return occurrences_; }
+  bool IsFinished(int64_t occurrence_number) const {
+    return finished_.Contains(occurrence_number);
+  }
 
   // The task that holds the failures: the first member for a gang, otherwise
   // the task itself.
@@ -128,15 +152,18 @@
   // worker has crashed under the task, or may have.
   void WithdrawSuspicion(const TaskName& task, uint64_t run);
 
-  // Releases the occurrences that are due and returns the tasks that become
-  // ready.
-  std::vector<TaskName> Release(int64_t unix_ms);
+  // Releases the next occurrence and returns the tasks that become ready.
+  std::vector<TaskName> ReleaseNext();
+  // Bytes that the release of the next occurrence takes beyond what was counted
+  // when the job was accepted.
+  int64_t OverlapBytesOfNextRelease() const;
   // Whether no task of the step is waiting, active or done.
   bool AreAllTasksReady(const TaskName& task);
-  // When the next occurrence is due; nullopt when all are released.
+  // When the next occurrence is due, 0 for immediately; nullopt when all are
+  // released.
   std::optional<int64_t> NextReleaseUnixMs() const;
   // Marks the task, or its whole gang, as done. Returns the tasks of later
-  // steps that become ready.
+  // steps that become ready. Deletes the records of an occurrence that ends.
   std::vector<TaskName> MarkDone(const TaskName& task);
   // Makes an active task ready again. Returns the tasks that may start: the
   // task itself; for a gang, all members once the last of them is ready, or
@@ -163,7 +190,16 @@
   std::set<std::string> workers;
 
  private:
-  std::vector<TaskName> MarkStepReady(int64_t occurrence, int64_t step);
+  std::vector<TaskName> MarkStepReady(int64_t occurrence_number, int64_t step);
+  // Marks steps that follow a finished one as ready once they wait for no
+  // other.
+  std::vector<TaskName> MarkSuccessorsReady(const TaskName& finished);
+  void FinishOccurrence(int64_t number);
+  // Whether this many occurrences with records are more than the job reserves.
+  bool ExceedsReservation(size_t occurrences) const {
+    return static_cast<int64_t>(occurrences) > reserved_occurrences_;
+  }
+  void RestoreProgress();
 
   const std::shared_ptr<const QueuedJob> job_;
   const SharedText id_;  // Shared by the names of the tasks.
@@ -171,7 +207,13 @@
   // start orders may still be on their way to the network.
   const std::shared_ptr<const JsonText> payload_;
   const EarlierRuns earlier_runs_;
-  std::vector<TrackedOccurrence> occurrences_;
+  const int64_t occurrence_bytes_;
+  const int64_t reserved_occurrences_;
+  const std::shared_ptr<int64_t> overlap_bytes_;
+  std::map<int64_t, TrackedOccurrence> occurrences_;
+  OccurrenceSet finished_;
+  int64_t next_release_ = 0;          // Number of the next occurrence.
+  int64_t released_occurrences_ = 0;  // Of those with records.
   // Estimated duration of the longest chain of steps from each step on.
   std::vector<int64_t> critical_path_ms_;
   int64_t start_unix_ms_ = 0;  // Of the first occurrence.
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -6,8 +6,10 @@
 
 #include "packages/queue/client_account.h"
 #include "packages/queue/crash_limit.h"
+#include "packages/queue/job_memory.h"
 #include "packages/queue/job_specification.h"
 #include "packages/queue/maintenance_wave.h"
+#include "packages/queue/occurrence_set.h"
 #include "packages/queue/queue_command.h"
 #include "packages/queue/queue_configuration.h"
 #include "packages/queue/queue_state.h"
--- a/packages/queue/queue_codec.cc
+++ b/packages/queue/queue_codec.cc
@@ -91,6 +91,8 @@
     for (ProgressRecord& progress_record : record.progress) {
       job->progress[progress_record.task] = std::move(progress_record.progress);
     }
+    RestoreOccurrences(job.get());
+    state->job_bytes_ += job->MemoryBytes();
     state->jobs_[job->id] = std::move(job);
   }
   for (MaintenanceWave& wave : snapshot.waves) {
--- a/packages/queue/queue_codec.h
+++ b/packages/queue/queue_codec.h
@@ -194,11 +194,14 @@
 auto Fields(codec::Is<ProgressRecord> auto& v) {
   return std::tie(v.task, v.progress);
 }
+auto Fields(codec::Is<OccurrenceSet> auto& v) {
+  return std::tie(v.words);
+}
 auto Fields(codec::Is<QueuedJob> auto& v) {
   return std::tie(v.id, v.queue, v.pool, v.maximum_attempts, v.priority,
                   v.stretch_factor, v.target_latency_ms, v.specification,
                   v.submitted_unix_ms, v.ended_unix_ms, v.outcome,
-                  v.unfinished_tasks, v.account);
+                  v.unfinished_tasks, v.account, v.finished_occurrences);
 }
 auto Fields(codec::Is<JobRecord> auto& v) {
   return std::tie(v.job, v.progress);
--- a/packages/queue/queue_state.cc
+++ b/packages/queue/queue_state.cc
@@ -4,16 +4,18 @@
 #include <atomic>
 #include <utility>
 
+#include "packages/queue/job_memory.h"
+
 namespace bramleyrail {
 
 namespace {
 
-int64_t TaskCount(const JobSpecification& job) {
+int64_t TasksOfOccurrence(const JobSpecification& job) {
   int64_t tasks = 0;
   for (const JobStep& step : job.steps) {
     tasks += step.tasks;
   }
-  return tasks * job.OccurrenceCount();
+  return tasks;
 }
 
 bool HasTask(const JobSpecification& job, const TaskName& task) {
@@ -22,6 +24,9 @@
          task.index < job.steps[task.step].tasks;
 }
 
+// Of the id of a job that was cancelled before it was submitted, and the copies
+// that a snapshot makes.
+constexpr int64_t kBytesPerCancelledUnknownJob = 500;
 // A leader follows the changes many times a second, and looks at all jobs when
 // it has missed more than these.
 constexpr size_t kMaximumJobChanges = 1'000;
@@ -33,6 +38,11 @@
 
 }  // namespace
 
+int64_t QueuedJob::MemoryBytes() const {
+  return outcome == JobOutcome::kOpen ? BytesOfOpenJob(specification)
+                                      : BytesOfEndedJob(specification);
+}
+
 QueueState::QueueState()
     : workers_revision_(NextRevision()),
       jobs_revision_(NextRevision()),
@@ -258,7 +268,9 @@
   job->specification = command.specification;
   job->account = command.account;
   job->submitted_unix_ms = unix_ms;
-  job->unfinished_tasks = TaskCount(command.specification);
+  job->unfinished_tasks = TasksOfOccurrence(command.specification) *
+                          command.specification.OccurrenceCount();
+  job_bytes_ += job->MemoryBytes();
   position->second = std::move(job);
   RecordJobChange(command.id);
   if (cancelled_unknown_jobs_.erase(command.id) > 0) {
@@ -297,7 +309,9 @@
                         QueuedJob* job,
                         int64_t unix_ms) {
   const JobStep& step = job->specification.steps[finished.task.step];
-  if (finished.outcome == RunOutcome::kDone && !step.long_running) {
+  const int64_t occurrence = finished.task.occurrence;
+  if (finished.outcome == RunOutcome::kDone && !step.long_running &&
+      !job->finished_occurrences.Contains(occurrence)) {
     MarkDone(finished.task, job);
   }
   // The runs of a worker that has crashed count until their leases have
@@ -306,6 +320,12 @@
       finished.outcome != RunOutcome::kCrashAttributed) {
     recorded_runs_.Erase(finished.task, finished.run);
   }
+  if (job->finished_occurrences.Contains(occurrence)) {
+    if (job->unfinished_tasks == 0) {
+      EndJob(job, JobOutcome::kCompleted, unix_ms);
+    }
+    return;
+  }
   TaskName failure_holder = finished.task;
   failure_holder.index = step.gang ? 0 : failure_holder.index;
   TaskProgress& progress = job->progress[failure_holder];
@@ -351,24 +371,70 @@
     TaskName member = task;
     member.index = index;
     TaskProgress& progress = job->progress[member];
-    job->unfinished_tasks -= progress.done ? 0 : 1;
+    if (progress.done) {
+      continue;
+    }
     progress.done = true;
+    --job->unfinished_tasks;
+    if (job->specification.repetitions > 0) {
+      ++job->done_tasks[task.occurrence];
+    }
   }
   if (step.gang) {
     recorded_runs_.EraseStep(task);
   }
+  FinishOccurrence(task.occurrence, job);
+}
+
+void QueueState::FinishOccurrence(int64_t number, QueuedJob* job) {
+  const auto done = job->done_tasks.find(number);
+  if (done == job->done_tasks.end() ||
+      done->second < TasksOfOccurrence(job->specification)) {
+    return;
+  }
+  job->done_tasks.erase(done);
+  job->finished_occurrences.Insert(number);
+  const SharedText id(job->id);
+  job->progress.erase(job->progress.lower_bound({id, number, 0, 0}),
+                      job->progress.lower_bound({id, number + 1, 0, 0}));
+}
+
+void QueueState::RestoreOccurrences(QueuedJob* job) {
+  if (job->specification.repetitions == 0) {
+    return;
+  }
+  for (const auto& [task, progress] : job->progress) {
+    if (progress.done) {
+      ++job->done_tasks[task.occurrence];
+    }
+  }
+  // Versions that keep the progress until the job ends have written some
+  // snapshots.
+  const std::map<int64_t, int64_t> done_tasks = job->done_tasks;
+  for (const auto& [number, tasks] : done_tasks) {
+    FinishOccurrence(number, job);
+  }
 }
 
 void QueueState::EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms) {
+  job_bytes_ -= job->MemoryBytes();
   job->outcome = outcome;
   job->ended_unix_ms = unix_ms;
   job->progress.clear();
+  job->done_tasks.clear();
+  job->finished_occurrences = {};
   job->specification.payload.clear();
+  job_bytes_ += job->MemoryBytes();
   recorded_runs_.EraseJob(job->id);
   jobs_with_unrecorded_runs_.erase(job->id);
   RecordJobChange(job->id);
 }
 
+int64_t QueueState::job_bytes() const {
+  return job_bytes_ +
+         std::ssize(cancelled_unknown_jobs_) * kBytesPerCancelledUnknownJob;
+}
+
 bool QueueState::HasJobsEndedBefore(int64_t unix_ms) const {
   return std::any_of(jobs_.begin(), jobs_.end(),
                      [unix_ms](const auto& item) {
@@ -385,8 +451,10 @@
     return item.second < command.unix_ms;
   });
   const size_t erased = std::erase_if(jobs_, [&](const auto& item) {
-    return item.second->outcome != JobOutcome::kOpen &&
-           item.second->ended_unix_ms < command.unix_ms;
+    const bool erase = item.second->outcome != JobOutcome::kOpen &&
+                       item.second->ended_unix_ms < command.unix_ms;
+    job_bytes_ -= erase ? item.second->MemoryBytes() : 0;
+    return erase;
   });
   std::erase_if(departed_workers_, [&](const auto& item) {
     return item.second.departed_unix_ms < command.unix_ms;
--- a/packages/queue/queue_state.h
+++ b/packages/queue/queue_state.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "packages/queue/crash_limit.h"
+#include "packages/queue/occurrence_set.h"
 #include "packages/queue/queue_command.h"
 #include "packages/queue/recorded_runs.h"
 
@@ -54,10 +55,18 @@
   int64_t ended_unix_ms = 0;
   JobOutcome outcome = JobOutcome::kOpen;
   // Tasks without an entry have no finished run. The failures of a gang are
-  // stored at its first member. Cleared when the job ends.
+  // stored at its first member. Cleared when the job ends. For a job with
+  // repetitions, the entries of an occurrence are deleted when it finishes.
   std::map<TaskName, TaskProgress> progress;
+  // Only of a job with repetitions: the occurrences whose tasks are all done,
+  // and for each other one with a task that is done, how many are.
+  OccurrenceSet finished_occurrences;
+  std::map<int64_t, int64_t> done_tasks;
   int64_t unfinished_tasks = 0;
   std::string account;  // Of the submitter; empty: none.
+
+  // Upper estimate of the memory that the job takes now. See job_memory.h.
+  int64_t MemoryBytes() const;
 };
 
 // The replicated state of the job queues. Commands are applied in log order,
@@ -84,6 +93,9 @@
   }
   using Jobs = std::map<std::string, std::shared_ptr<QueuedJob>, std::less<>>;
   const Jobs& jobs() const { return jobs_; }
+  // Upper estimate of the memory that the jobs take, and the cancellations that
+  // came before their jobs. See BytesOfOpenJob().
+  int64_t job_bytes() const;
   const QueuedJob* FindJob(std::string_view id) const;
   // Change with the registrations of workers, and with the set of open jobs.
   // No two states of a process share a value for different content.
@@ -143,6 +155,10 @@
   void Record(const FinishedRun& finished, QueuedJob* job, int64_t unix_ms);
   static void RecordCrash(const FinishedRun& finished, TaskProgress* progress);
   void MarkDone(const TaskName& task, QueuedJob* job);
+  // Deletes the progress of the occurrence if all its tasks are done.
+  static void FinishOccurrence(int64_t number, QueuedJob* job);
+  // Derives what a snapshot does not contain.
+  static void RestoreOccurrences(QueuedJob* job);
   void EndJob(QueuedJob* job, JobOutcome outcome, int64_t unix_ms);
   void RecordJobChange(const std::string& id);
 
@@ -160,6 +176,7 @@
   std::set<std::string> restarted_workers_;
   std::map<std::string, SuspectedRuns> suspected_runs_;  // By worker id.
   Jobs jobs_;
+  int64_t job_bytes_ = 0;
   // Ids that were cancelled and not known, and when. A submission may arrive
   // after the cancellation that its caller has sent later.
   std::map<std::string, int64_t, std::less<>> cancelled_unknown_jobs_;
