Base, Platform, Queue: Bound the memory that reading a job takes

Cause: each of 1,300,000 empty lists in place of steps became a value of its own and a fault of its own, and the faults were copied into a text.

A reader collects 100 faults. A job with too many steps, or a step with wrong predecessors, has one fault for that.

Why it works: the parser stops at the first value too many, so that no more of a body than its text is ever kept.

--- a/packages/base/json.cc
+++ b/packages/base/json.cc
@@ -11,12 +11,16 @@
 namespace {
 
 // Builds a value from the events of a parser, and stops the parser at a value
-// that is nested too deeply: the one for binary formats takes stack for each
-// level.
+// that is nested too deeply, since the one for binary formats takes stack for
+// each level, or at one value too many.
 class DocumentBuilder final : public nlohmann::json_sax<Json> {
  public:
+  explicit DocumentBuilder(size_t maximum_values)
+      : maximum_values_(maximum_values) {}
+
   Json& document() { return document_; }
   bool is_too_deep() const { return is_too_deep_; }
+  bool has_too_many_values() const { return values_ > maximum_values_; }
   const std::string& error() const { return error_; }
 
   bool null() override { return Add(nullptr) != nullptr; }
@@ -52,7 +56,12 @@
   }
 
  private:
+  // Returns nullptr for one value too many.
   Json* Add(Json value) {
+    ++values_;
+    if (has_too_many_values()) {
+      return nullptr;
+    }
     if (open_.empty()) {
       document_ = std::move(value);
       return &document_;
@@ -68,10 +77,11 @@
 
   bool Open(Json value) {
     is_too_deep_ = open_.size() >= static_cast<size_t>(kMaximumNestingDepth);
-    if (!is_too_deep_) {
-      open_.push_back(Add(std::move(value)));
+    Json* const added = is_too_deep_ ? nullptr : Add(std::move(value));
+    if (added != nullptr) {
+      open_.push_back(added);
     }
-    return !is_too_deep_;
+    return added != nullptr;
   }
 
   bool Close() {
@@ -83,6 +93,8 @@
   std::vector<Json*> open_;  // The objects and arrays that are not complete.
   Json* member_ = nullptr;   // Of the innermost object, for the next value.
   bool is_too_deep_ = false;
+  const size_t maximum_values_;
+  size_t values_ = 0;
   std::string error_;
 };
 
@@ -104,8 +116,10 @@
   output->push_back('"');
 }
 
-Result<Json> ParseJson(std::string_view text, JsonComments comments) {
-  DocumentBuilder builder;
+Result<Json> ParseJson(std::string_view text,
+                       JsonComments comments,
+                       size_t maximum_values) {
+  DocumentBuilder builder(maximum_values);
   if (Json::sax_parse(text.begin(), text.end(), &builder,
                       Json::input_format_t::json, /*strict=*/true,
                       comments == JsonComments::kAllow)) {
@@ -117,6 +131,12 @@
                                   kMaximumNestingDepth, " levels deep"),
                      "send the value with fewer levels");
   }
+  if (builder.has_too_many_values()) {
+    return MakeError(
+        ErrorKind::kInvalidArgument,
+        absl::StrCat("the JSON text has more than ", maximum_values, " values"),
+        "send fewer values");
+  }
   return MakeError(
       ErrorKind::kInvalidArgument,
       absl::StrCat("the text is not valid JSON: ", builder.error()),
@@ -124,7 +144,7 @@
 }
 
 std::optional<Json> ParseCbor(std::span<const std::byte> data) {
-  DocumentBuilder builder;
+  DocumentBuilder builder(SIZE_MAX);
   const auto* begin = reinterpret_cast<const uint8_t*>(data.data());
   if (!Json::sax_parse(begin, begin + data.size(), &builder,
                        Json::input_format_t::cbor)) {
@@ -138,7 +158,7 @@
                        std::vector<FieldFault>* faults)
     : object_(object), path_(std::move(path)), faults_(faults) {
   if (!object_.is_object()) {
-    faults_->push_back({path_, "must be a JSON object"});
+    Collect({path_, "must be a JSON object"});
   }
 }
 
@@ -147,7 +167,13 @@
 }
 
 void JsonReader::AddFault(std::string_view field, std::string message) {
-  faults_->push_back({PathOf(field), std::move(message)});
+  Collect({PathOf(field), std::move(message)});
+}
+
+void JsonReader::Collect(FieldFault fault) {
+  if (faults_->size() < kMaximumFaults) {
+    faults_->push_back(std::move(fault));
+  }
 }
 
 const Json* JsonReader::Find(std::string_view field, Presence presence) {
--- a/packages/base/json.h
+++ b/packages/base/json.h
@@ -26,9 +26,12 @@
 inline constexpr int64_t kMaximumJsonInteger = (int64_t{1} << 53) - 1;
 
 // Parses text; a syntax error comes back with its position. Refuses values that
-// are nested more deeply than kMaximumNestingDepth, and numbers that a double
-// cannot hold.
-Result<Json> ParseJson(std::string_view text, JsonComments comments);
+// are nested more deeply than kMaximumNestingDepth, numbers that a double
+// cannot hold, and text with more than `maximum_values` values. A value of two
+// bytes of text takes 50 in memory, so that a short text could exhaust it.
+Result<Json> ParseJson(std::string_view text,
+                       JsonComments comments,
+                       size_t maximum_values = SIZE_MAX);
 
 // Parses one value in CBOR. nullopt when the bytes are not valid, or are nested
 // more deeply than kMaximumNestingDepth.
@@ -37,8 +40,8 @@
 // Appends the text as a JSON string. Invalid UTF-8 is replaced by U+FFFD.
 void AppendJsonString(std::string_view text, std::string* output);
 
-// Reads the fields of one JSON object and collects every fault by field path,
-// so that a faulty input is refused whole with all its faults at once.
+// Reads the fields of one JSON object and collects its faults by field path, so
+// that a faulty input is refused whole with its first kMaximumFaults at once.
 //
 //   JsonReader reader(object, "spec", &faults);
 //   spec.replicas = reader.Integer("replicas", {.minimum = 0}).value_or(1);
@@ -50,6 +53,8 @@
     int64_t maximum = INT64_MAX;
   };
   enum class Presence { kRequired, kOptional };
+  // Further faults are not collected: an input may have one in each value.
+  static constexpr size_t kMaximumFaults = 100;
 
   JsonReader(const Json& object,
              std::string path,
@@ -77,6 +82,7 @@
 
  private:
   const Json* Find(std::string_view field, Presence presence);
+  void Collect(FieldFault fault);
 
   const Json& object_;
   std::string path_;
--- a/packages/queue/job_specification.cc
+++ b/packages/queue/job_specification.cc
@@ -8,17 +8,17 @@
 
 // Bound the size of the state that one submission creates.
 constexpr int64_t kMaximumTasksPerStep = 10'000;
-constexpr size_t kMaximumSteps = 100;
 constexpr int64_t kMaximumRepetitions = 1'000;
 
 }  // namespace
 
 Result<void> ValidateJob(const JobSpecification& job) {
   std::vector<FieldFault> faults;
-  if (job.steps.empty() || job.steps.size() > kMaximumSteps) {
-    faults.push_back(
-        {"steps", absl::StrCat("must list 1 to ", kMaximumSteps,
-                               " steps, but lists ", job.steps.size())});
+  if (job.steps.empty() || job.steps.size() > kMaximumJobSteps) {
+    return MakeInvalidArgument(
+        "the job is not valid",
+        {{"steps", absl::StrCat("must list 1 to ", kMaximumJobSteps,
+                                " steps, but lists ", job.steps.size())}});
   }
   if (job.repetitions < 0 || job.repetitions > kMaximumRepetitions) {
     faults.push_back(
@@ -38,6 +38,7 @@
         faults.push_back({path, absl::StrCat("must only have earlier steps as "
                                              "predecessors, but names step ",
                                              predecessor)});
+        break;
       }
     }
   }
--- a/packages/queue/job_specification.h
+++ b/packages/queue/job_specification.h
@@ -53,6 +53,9 @@
   int64_t OccurrenceCount() const { return repetitions > 0 ? repetitions : 1; }
 };
 
+// The most steps of a job that ValidateJob() allows.
+inline constexpr size_t kMaximumJobSteps = 100;
+
 // Rejects a job without steps, with a step without tasks, with a predecessor
 // that is not an earlier step, or beyond the size limits of one job.
 Result<void> ValidateJob(const JobSpecification& job);
