Queue: Refuse a job whose payload exceeds the published 4,000 bytes

Cause: the length of the payload was not checked, and nothing compared the stored bytes, and their copies, with the memory of the process.

Change: a payload of more than 4,000 bytes, the limit that callers know, is invalid.

Evidence: on the code before, ValidateJob() accepts 4,001 bytes, which JobSpecification.PayloadBeyondItsLimitIsInvalid refuses.

--- a/packages/queue/job_specification.cc
+++ b/packages/queue/job_specification.cc
@@ -7,6 +7,7 @@
 namespace {
 
 // Bound the size of the state that one submission creates.
+constexpr size_t kMaximumPayloadBytes = 4'000;
 constexpr int64_t kMaximumTasksPerStep = 10'000;
 constexpr int64_t kMaximumRepetitions = 1'000;
 
@@ -14,6 +15,11 @@
 
 Result<void> ValidateJob(const JobSpecification& job) {
   std::vector<FieldFault> faults;
+  if (job.payload.size() > kMaximumPayloadBytes) {
+    faults.push_back(
+        {"payload", absl::StrCat("must have at most ", kMaximumPayloadBytes,
+                                 " bytes, but has ", job.payload.size())});
+  }
   if (job.steps.empty() || job.steps.size() > kMaximumJobSteps) {
     return MakeInvalidArgument(
         "the job is not valid",
--- a/packages/queue/tests/queue_state_test.cc
+++ b/packages/queue/tests/queue_state_test.cc
@@ -529,6 +529,18 @@
   }));
 }
 
+TEST_GROUP(JobSpecification){};
+
+// Fault: jobs with a payload of 250,000 bytes were accepted, and 170 of them
+// took each control instance over the memory of its machine.
+TEST(JobSpecification, PayloadBeyondItsLimitIsInvalid) {
+  JobSpecification job = TwoSteps();
+  job.payload = std::string(4'000, 'x');
+  CHECK(ValidateJob(job).has_value());
+  job.payload.push_back('x');
+  CHECK(ValidateJob(job).has_error());
+}
+
 TEST_GROUP(QueueConfiguration){};
 
 // Fails when a configuration is accepted although its queues cannot run jobs or
