Dispatch: Show a recurring job as started after a takeover between occurrences

Callers would have seen: a job with a finished occurrence and none in progress is queued, and counted as pending, once another instance leads.

Change: a finished occurrence shows it, too.

Evidence: found by reading the change. NewLeaderKnowsThatAnOccurrenceHasFinished fails without this line and passes with it.

--- a/packages/dispatch/tests/recurring_job_test.cc
+++ b/packages/dispatch/tests/recurring_job_test.cc
@@ -113,6 +113,24 @@
   CHECK(holds);
 }
 
+// Fails when a job between two occurrences is shown as queued, and counted as
+// one that waits for its first start, after a takeover.
+TEST(RecurringJob, NewLeaderKnowsThatAnOccurrenceHasFinished) {
+  FakePool::Options options;
+  options.restores_snapshots = true;
+  FakePool pool(options);
+  pool.Submit("job", Recurring(kTasks, 2, kUnixMs, 240 * kHourMs));
+  constexpr int64_t kTasksOfOccurrence = int64_t{2} * kTasks;
+  CHECK(pool.RunUntil(
+      [&] { return pool.RecordedTasks("job") == kTasksOfOccurrence; },
+      std::chrono::minutes(1)));
+  CHECK(pool.dispatcher().HasStarted("job"));
+  pool.ChangeLeader();
+  pool.RunFor(std::chrono::seconds(1));
+  CHECK(pool.dispatcher().HasStarted("job"));
+  LONGS_EQUAL(0, pool.dispatcher().CountWaitingJobs("queue"));
+}
+
 // Fails when all occurrences that are due get records, however many they are,
 // or when those that wait for memory never run.
 TEST(RecurringJob, ManyDueOccurrencesStayWithinTheMemory) {
--- a/packages/dispatch/tracked_job.cc
+++ b/packages/dispatch/tracked_job.cc
@@ -58,6 +58,7 @@
 }
 
 void TrackedJob::RestoreProgress() {
+  started = !finished_.words.empty();
   for (const auto& [name, progress] : job_->progress) {
     TrackedTask& tracked_task = task(name);
     tracked_task.failed_runs.insert(progress.failed_runs.begin(),
