--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -13,7 +13,7 @@
 }
 
 TEST(Base, NameRulesRefuseWhatCannotStandInAUrl) {
-  CHECK(ValidateName("quote-check.v2").has_value());
+  CHECK(ValidateName("price-list.v2").has_value());
   CHECK(!ValidateName("").has_value());
   CHECK(!ValidateName("Quote").has_value());
   CHECK(!ValidateName("-quote").has_value());
